--- /dev/null
+++ b/include/tamaracklatch/core/event_id.h
@@ -0,0 +1,52 @@
+// Numbered events of the log and the time line. docs/EVENTS.md is their
+// catalogue; continuous integration checks it.
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace tamaracklatch {
+
+// Each slice numbers its events in a block of its own. A number is never used
+// again for another meaning.
+enum class event_id : std::uint16_t {
+  // daemon: 1000 to 1099
+  kProcessStarted = 1000,
+  kProcessStopping = 1001,
+  kProcessStopped = 1002,
+
+  // transport: 1100 to 1199
+  kLinkUp = 1100,
+  kLinkDown = 1101,
+  kLinkRefused = 1102,
+
+  // consensus: 2000 to 2099
+
+  // control: 2100 to 2199
+  kSubmissionAccepted = 2100,
+  kSubmissionRefused = 2101,
+  kInForceEverywhere = 2102,
+
+  // distribution: 2200 to 2299
+  kRevisionApplied = 2200,
+
+  // membership: 2300 to 2399
+  kTargetJoined = 2300,
+  kTargetDraining = 2301,
+  kTargetLeft = 2302,
+  kTargetRefused = 2303,
+
+  // flow: 2400 to 2499
+  kFlowOpened = 2400,
+  kFlowClosed = 2401,
+  kFlowRefused = 2402,
+  kEnvelopeDropped = 2403,
+
+  // request: 2500 to 2599
+
+};
+
+// The event's name as the catalogue writes it: "submission_accepted".
+std::string_view ToString(event_id id);
+
+}  // namespace tamaracklatch
--- /dev/null
+++ b/include/tamaracklatch/core/result_code.h
@@ -0,0 +1,84 @@
+// Numbered result codes. A function that can fail returns std::optional and
+// leaves the last reason in a `failure`. docs/RESULT_CODES.md explains every
+// number; continuous integration checks that the two agree.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace tamaracklatch {
+
+// Each slice numbers its codes in a block of its own. A number is never used
+// again for another meaning.
+enum class result_code : std::uint16_t {
+  kOk = 0,
+
+  // core: 100 to 199
+  kBadAddress = 100,
+  kBadEndpoint = 101,
+  kBadRange = 102,
+
+  // document and settings: 200 to 299
+  kDocumentSyntax = 200,
+  kDocumentUnknownKey = 201,
+  kDocumentMissingKey = 202,
+  kDocumentWrongType = 203,
+  kDocumentOutOfRange = 204,
+  kDocumentDuplicate = 205,
+  kDocumentTooLarge = 206,
+  kSettingsFileUnreadable = 220,
+
+  // transport: 300 to 399
+  kFrameTooLarge = 300,
+  kFrameMalformed = 301,
+  kLinkUnauthenticated = 302,
+  kLinkClosed = 303,
+  kLinkVersion = 304,
+
+  // consensus: 400 to 499
+
+  // control: 500 to 599
+  kVersionConflict = 500,
+  kVersionStale = 501,
+  kVersionGap = 502,
+  kOutcomeUnknown = 503,
+  kNotLeader = 504,
+  kUnauthorized = 505,
+  kServiceUnknown = 506,
+  kAddressTaken = 507,
+
+  // distribution: 600 to 699
+
+  // membership: 700 to 799
+  kTargetNotEligible = 700,
+  kTargetServiceUnknown = 701,
+  kTargetSuperseded = 702,
+
+  // placement and flow: 800 to 899
+
+  // admission and request: 900 to 999
+
+  // timeline: 1000 to 1099
+
+  // daemon: 1100 to 1199
+  kUsage = 1100,
+  kBindFailed = 1101,
+};
+
+// The code's name as docs and answers write it: "version_conflict".
+std::string_view ToString(result_code code);
+
+// The last reason why something failed.
+struct failure {
+  result_code code = result_code::kOk;
+  std::string reason;  // for a person; names the key and the value concerned
+};
+
+// Fills `last_failure`, if there is one.
+void SetFailure(failure* last_failure, result_code code, std::string reason);
+
+// "version_conflict (500): …", as logs and the command line print it.
+std::string ToString(const failure& what);
+
+}  // namespace tamaracklatch
--- /dev/null
+++ b/src/core/event_id.cc
@@ -0,0 +1,48 @@
+// Names of the events.
+#include "tamaracklatch/core/event_id.h"
+
+namespace tamaracklatch {
+
+std::string_view ToString(event_id id) {
+  switch (id) {
+    case event_id::kProcessStarted:
+      return "process_started";
+    case event_id::kProcessStopping:
+      return "process_stopping";
+    case event_id::kProcessStopped:
+      return "process_stopped";
+    case event_id::kLinkUp:
+      return "link_up";
+    case event_id::kLinkDown:
+      return "link_down";
+    case event_id::kLinkRefused:
+      return "link_refused";
+    case event_id::kSubmissionAccepted:
+      return "submission_accepted";
+    case event_id::kSubmissionRefused:
+      return "submission_refused";
+    case event_id::kInForceEverywhere:
+      return "in_force_everywhere";
+    case event_id::kRevisionApplied:
+      return "revision_applied";
+    case event_id::kTargetJoined:
+      return "target_joined";
+    case event_id::kTargetDraining:
+      return "target_draining";
+    case event_id::kTargetLeft:
+      return "target_left";
+    case event_id::kTargetRefused:
+      return "target_refused";
+    case event_id::kFlowOpened:
+      return "flow_opened";
+    case event_id::kFlowClosed:
+      return "flow_closed";
+    case event_id::kFlowRefused:
+      return "flow_refused";
+    case event_id::kEnvelopeDropped:
+      return "envelope_dropped";
+  }
+  return "unknown";
+}
+
+}  // namespace tamaracklatch
