--- a/include/tamaracklatch/core/result_code.h
+++ b/include/tamaracklatch/core/result_code.h
@@ -28,6 +28,8 @@
   kDocumentDuplicate = 205,
   kDocumentTooLarge = 206,
   kSettingsFileUnreadable = 220,
+  kSettingsConflict = 221,
+  kSettingsKeyMalformed = 222,
 
   // transport: 300 to 399
   kFrameTooLarge = 300,
--- a/src/core/result_code.cc
+++ b/src/core/result_code.cc
@@ -33,6 +33,10 @@
       return "document_too_large";
     case result_code::kSettingsFileUnreadable:
       return "settings_file_unreadable";
+    case result_code::kSettingsConflict:
+      return "settings_conflict";
+    case result_code::kSettingsKeyMalformed:
+      return "settings_key_malformed";
     case result_code::kFrameTooLarge:
       return "frame_too_large";
     case result_code::kFrameMalformed:
