--- a/include/tamaracklatch/daemon/settings.h
+++ b/include/tamaracklatch/daemon/settings.h
@@ -14,6 +14,7 @@
 #include "tamaracklatch/core/endpoint.h"
 #include "tamaracklatch/core/ids.h"
 #include "tamaracklatch/core/result_code.h"
+#include "tamaracklatch/transport/link_codec.h"
 
 namespace tamaracklatch {
 
@@ -23,19 +24,14 @@
 // The level's name as settings write it: "info".
 std::string_view ToString(log_level level);
 
-inline constexpr std::size_t kLinkKeyBytes = 32;
-
-// The secret that the links between the system's processes authenticate with.
-using link_key_bytes = std::array<std::uint8_t, kLinkKeyBytes>;
-
 // What every process needs.
 struct process_settings {
   std::string name;  // unique among all processes of the system
   vm_name vm;
   zone_name zone;
   std::string region = "default";
-  link_key_bytes link_key{};  // zero until the key file is read, where
-                              // link_key_file names one
+  tamaracklatch::link_key link_key{};  // zero until the key file is read, where
+                                       // link_key_file names one
   std::string link_key_file;  // path; empty where the settings hold the key
   std::string data_folder;    // empty in a process that keeps no files
   std::string timeline_file;  // empty: no time line is written
@@ -126,7 +122,7 @@
                                     failure* last_failure);
 
 // Reads a link key: 64 hexadecimal digits, white space around them allowed.
-std::optional<link_key_bytes> ParseLinkKey(std::string_view text,
-                                           failure* last_failure);
+std::optional<link_key> ParseLinkKey(std::string_view text,
+                                     failure* last_failure);
 
 }  // namespace tamaracklatch
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -278,10 +278,10 @@
                      });
 }
 
-std::optional<link_key_bytes> ParseLinkKey(std::string_view text,
+std::optional<link_key> ParseLinkKey(std::string_view text,
                                            failure* last_failure) {
   const std::string_view digits = Trimmed(text);
-  link_key_bytes key{};
+  link_key key{};
   const bool all_digits = std::all_of(
       digits.begin(), digits.end(), [](char c) { return DigitValue(c) >= 0; });
   // The reason says nothing of the key itself.
