--- /dev/null
+++ b/src/daemon/process_frame.cc
@@ -0,0 +1,137 @@
+// The common frame of the daemons.
+#include "daemon/process_frame.h"
+
+#include <sodium.h>
+
+#include <algorithm>
+#include <csignal>
+
+namespace tamaracklatch {
+namespace {
+
+std::uint64_t RandomNumber() {
+  std::uint64_t number = 0;
+  while (number == 0) randombytes_buf(&number, sizeof(number));
+  return number;
+}
+
+std::uint64_t WallMicroseconds() {
+  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<duration>(since_epoch).count());
+}
+
+std::string LevelName(log_level level) {
+  switch (level) {
+    case log_level::kTrace:
+      return "TRACE";
+    case log_level::kDebug:
+      return "DEBUG";
+    case log_level::kInfo:
+      return "INFO";
+    case log_level::kWarning:
+      return "WARN";
+    case log_level::kError:
+      return "ERROR";
+  }
+  return "INFO";
+}
+
+}  // namespace
+
+std::uint64_t process_clock::Stamp() {
+  last_ = std::max(last_ + 1, WallMicroseconds());
+  return last_;
+}
+
+void process_clock::Observe(std::uint64_t stamp) {
+  last_ = std::max(last_, stamp);
+}
+
+// Work that is done again and again.
+struct process_frame::ticker {
+  ticker(asio::io_context* loop, std::chrono::milliseconds every,
+         std::function<void()> what)
+      : timer(*loop), interval(every), work(std::move(what)) {}
+
+  void Schedule() {
+    timer.expires_after(interval);
+    timer.async_wait([this](asio::error_code error) {
+      if (error) return;
+      work();
+      Schedule();
+    });
+  }
+
+  asio::steady_timer timer;
+  std::chrono::milliseconds interval;
+  std::function<void()> work;
+};
+
+process_frame::process_frame(const process_settings& settings,
+                             process_role role)
+    : settings_(settings),
+      signals_(loop_, SIGTERM, SIGINT),
+      random_(RandomNumber()),
+      counts_(settings.name, settings.zone) {
+  StartLog(LevelName(settings.level));
+  log_ = std::make_unique<event_log>(settings.name, &counts_, nullptr);
+  links_.key = settings.link_key;
+  links_.self = {settings.name, settings.vm, settings.zone, role,
+                 incarnation{RandomNumber()}};
+}
+
+process_frame::~process_frame() = default;
+
+bool process_frame::ServeHttp(const endpoint& where, http_handler handler,
+                              failure* last_failure) {
+  const auto serve = [this, handler = std::move(handler)](
+                         const http_request& request, const http_reply& reply) {
+    if (request.path == "/metrics")
+      return reply({200, "text/plain; version=0.0.4", {}, counts_.Text()});
+    if (handler) return handler(request, reply);
+    reply({404, "text/plain", {}, "no such page\n"});
+  };
+  http_ = std::make_unique<http_server>(&loop_, serve);
+  return http_->Start(where, last_failure);
+}
+
+void process_frame::Run(std::function<void()> on_stop) {
+  on_stop_ = std::move(on_stop);
+  std::function<void(asio::error_code, int)> on_signal =
+      [&](asio::error_code error, int) {
+        if (error) return;
+        if (stopping_) return Stop();
+        stopping_ = true;
+        events().OnEvent(
+            {event_id::kProcessStopping, {}, {}, {}, {}, {}, {}, {}, {}});
+        signals_.async_wait(on_signal);
+        on_stop_();
+      };
+  signals_.async_wait(on_signal);
+  events().OnEvent(
+      {event_id::kProcessStarted, {}, {}, {}, {}, {}, {}, {}, "version 0.1.0"});
+  loop_.run();
+  events().OnEvent({event_id::kProcessStopped, {}, {}, {}, {}, {}, {}, {}, {}});
+}
+
+void process_frame::Stop() { loop_.stop(); }
+
+void process_frame::Every(std::chrono::milliseconds interval,
+                          std::function<void()> work) {
+  tickers_.push_back(
+      std::make_unique<ticker>(&loop_, interval, std::move(work)));
+  tickers_.back()->Schedule();
+}
+
+time_point process_frame::Now() const {
+  const auto since_start = std::chrono::steady_clock::now().time_since_epoch();
+  return time_point(std::chrono::duration_cast<duration>(since_start));
+}
+
+wall_time process_frame::WallNow() const {
+  return std::chrono::time_point_cast<duration>(
+      std::chrono::system_clock::now());
+}
+
+}  // namespace tamaracklatch
--- /dev/null
+++ b/src/daemon/process_frame.h
@@ -0,0 +1,80 @@
+// What every daemon is built on: one event loop, its clocks, metrics, the event
+// log, an HTTP server for metrics, and a graceful stop on SIGTERM or SIGINT.
+#pragma once
+
+#include <asio.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "daemon/event_log.h"
+#include "daemon/http_server.h"
+#include "daemon/metrics.h"
+#include "tamaracklatch/core/random.h"
+#include "tamaracklatch/core/time.h"
+#include "tamaracklatch/daemon/settings.h"
+#include "transport/link.h"
+
+namespace tamaracklatch {
+
+// The process's hybrid logical clock as links use it: wall microseconds, never
+// behind what was seen.
+class process_clock : public link_clock {
+ public:
+  std::uint64_t Stamp() override;
+  void Observe(std::uint64_t stamp) override;
+
+ private:
+  std::uint64_t last_ = 0;  // the newest stamp given or seen
+};
+
+// Invariant: everything runs on the one event loop.
+class process_frame {
+ public:
+  process_frame(const process_settings& settings, process_role role);
+  ~process_frame();
+  process_frame(const process_frame&) = delete;
+  process_frame& operator=(const process_frame&) = delete;
+
+  // Serves /metrics at `where`, and everything else by `handler`, which may be
+  // empty.
+  bool ServeHttp(const endpoint& where, http_handler handler,
+                 failure* last_failure);
+
+  // Runs until Stop(). `on_stop` is called once, when a signal asks for a
+  // graceful stop; it calls Stop() when done. A second signal ends at once.
+  void Run(std::function<void()> on_stop);
+  void Stop();
+
+  // Calls `work` every `interval` for as long as the process runs.
+  void Every(std::chrono::milliseconds interval, std::function<void()> work);
+
+  time_point Now() const;
+  wall_time WallNow() const;
+
+  asio::io_context& loop() { return loop_; }
+  metrics& counts() { return counts_; }
+  event_listener& events() { return *log_; }
+  link_clock& clock() { return clock_; }
+  random_source& random() { return random_; }
+  const link_settings& links() const { return links_; }
+  const link_identity& self() const { return links_.self; }
+
+ private:
+  struct ticker;
+
+  process_settings settings_;
+  asio::io_context loop_;
+  asio::signal_set signals_;
+  random_source random_;
+  metrics counts_;
+  std::unique_ptr<event_log> log_;
+  process_clock clock_;
+  link_settings links_;
+  std::unique_ptr<http_server> http_;
+  std::vector<std::unique_ptr<ticker>> tickers_;
+  std::function<void()> on_stop_;
+  bool stopping_ = false;
+};
+
+}  // namespace tamaracklatch
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -279,7 +279,7 @@
 }
 
 std::optional<link_key> ParseLinkKey(std::string_view text,
-                                           failure* last_failure) {
+                                     failure* last_failure) {
   const std::string_view digits = Trimmed(text);
   link_key key{};
   const bool all_digits = std::all_of(
