--- a/src/transport/link.cc
+++ b/src/transport/link.cc
@@ -3,16 +3,11 @@
 
 #include <sodium.h>
 
-#include <algorithm>
 #include <utility>
 
 namespace tamaracklatch {
 namespace {
 
-constexpr std::chrono::milliseconds kFirstPause{
-    50};  // before the second try to connect
-constexpr std::chrono::milliseconds kLongestPause{2000};
-
 link_nonce DrawNonce() {
   link_nonce nonce{};
   randombytes_buf(nonce.data(), nonce.size());
@@ -184,59 +179,4 @@
       });
 }
 
-link_connector::link_connector(asio::io_context* loop, const endpoint& where,
-                               const link_settings& settings,
-                               link_listener* listener, link_clock* clock)
-    : loop_(loop),
-      socket_(*loop),
-      timer_(*loop),
-      where_(where),
-      settings_(settings),
-      listener_(listener),
-      clock_(clock),
-      pause_(kFirstPause) {}
-
-void link_connector::Start() { Connect(); }
-
-void link_connector::Stop() {
-  stopped_ = true;
-  timer_.cancel();
-  asio::error_code ignored;
-  socket_.close(ignored);
-  if (current_) current_->Close({result_code::kLinkClosed, "this side stops"});
-}
-
-void link_connector::OnDown() {
-  current_.reset();
-  Retry();
-}
-
-void link_connector::Connect() {
-  if (stopped_) return;
-  socket_ = asio::ip::tcp::socket(*loop_);
-  socket_.async_connect(ToTcp(where_),
-                        [self = shared_from_this()](asio::error_code error) {
-                          if (self->stopped_) return;
-                          if (error) return self->Retry();
-                          self->pause_ = kFirstPause;
-                          self->current_ = std::make_shared<link>(
-                              std::move(self->socket_), link_side::kConnecting,
-                              self->settings_, self->listener_, self->clock_);
-                          self->current_->Start();
-                        });
-}
-
-void link_connector::Retry() {
-  if (stopped_) return;
-  // Up to half of the pause is random, so that many nodes that lost one peer do
-  // not return together.
-  const auto half = static_cast<std::uint32_t>(pause_.count() / 2 + 1);
-  timer_.expires_after(pause_ / 2 +
-                       std::chrono::milliseconds(randombytes_uniform(half)));
-  pause_ = std::min(pause_ * 2, kLongestPause);
-  timer_.async_wait([self = shared_from_this()](asio::error_code error) {
-    if (!error) self->Connect();
-  });
-}
-
 }  // namespace tamaracklatch
--- a/src/transport/link.h
+++ b/src/transport/link.h
@@ -114,37 +114,4 @@
   link_clock* clock_;
 };
 
-// Keeps a link to one endpoint: connects, and connects again with a growing,
-// jittered pause after each loss.
-class link_connector : public std::enable_shared_from_this<link_connector> {
- public:
-  link_connector(asio::io_context* loop, const endpoint& where,
-                 const link_settings& settings, link_listener* listener,
-                 link_clock* clock);
-
-  void Start();
-  void Stop();
-
-  // To be called by the listener when this connector's link went down.
-  void OnDown();
-
-  const std::shared_ptr<link>& current() const { return current_; }
-  const endpoint& where() const { return where_; }
-
- private:
-  void Connect();
-  void Retry();
-
-  asio::io_context* loop_;
-  asio::ip::tcp::socket socket_;
-  asio::steady_timer timer_;
-  endpoint where_;
-  link_settings settings_;
-  link_listener* listener_;
-  link_clock* clock_;
-  std::shared_ptr<link> current_;
-  std::chrono::milliseconds pause_;
-  bool stopped_ = false;
-};
-
 }  // namespace tamaracklatch
