--- /dev/null
+++ b/include/tamaracklatch/control/control_command.h
@@ -0,0 +1,34 @@
+// The commands of the replicated log of the control VMs.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "tamaracklatch/membership/announcement.h"
+
+namespace tamaracklatch {
+
+// A service's team submits its document.
+struct submit_document {
+  std::string canonical_text;
+  std::string submitter;  // who sent it, for the history
+};
+
+using control_body = std::variant<submit_document, membership_batch>;
+
+// One log entry.
+struct control_command {
+  // Drawn by the VM that proposes it, so that it knows its own entry again.
+  std::uint64_t tag = 0;
+  control_body body;
+};
+
+std::string Encode(const control_command& command);
+
+// Nothing on malformed bytes.
+std::optional<control_command> DecodeCommand(std::string_view bytes);
+
+}  // namespace tamaracklatch
--- a/include/tamaracklatch/core/event_id.h
+++ b/include/tamaracklatch/core/event_id.h
@@ -26,15 +26,20 @@
   kSubmissionAccepted = 2100,
   kSubmissionRefused = 2101,
   kInForceEverywhere = 2102,
+  kNodeNotHeard = 2103,
 
   // distribution: 2200 to 2299
   kRevisionApplied = 2200,
+  kSnapshotApplied = 2201,
+  kParentChanged = 2202,
+  kStartConfirmed = 2203,
 
   // membership: 2300 to 2399
   kTargetJoined = 2300,
   kTargetDraining = 2301,
   kTargetLeft = 2302,
   kTargetRefused = 2303,
+  kLossDoubted = 2304,
 
   // flow: 2400 to 2499
   kFlowOpened = 2400,
--- a/include/tamaracklatch/core/result_code.h
+++ b/include/tamaracklatch/core/result_code.h
@@ -49,13 +49,18 @@
   kUnauthorized = 505,
   kServiceUnknown = 506,
   kAddressTaken = 507,
+  kCommandMalformed = 508,
+  kSnapshotMalformed = 509,
+  kTooManyWaiting = 510,
 
   // distribution: 600 to 699
+  kRevisionUnconfirmed = 600,
 
   // membership: 700 to 799
   kTargetNotEligible = 700,
   kTargetServiceUnknown = 701,
   kTargetSuperseded = 702,
+  kLeaseTableFull = 703,
 
   // placement and flow: 800 to 899
 
--- /dev/null
+++ b/src/control/control_state.cc
@@ -0,0 +1,486 @@
+// The rules of submission and membership, applied in the log's order.
+#include "tamaracklatch/control/control_state.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cassert>
+#include <functional>
+
+#include "tamaracklatch/control/view_codec.h"
+
+namespace tamaracklatch {
+namespace {
+
+constexpr std::uint64_t kSnapshotFormat = 1;
+// Targets that may be members at once.
+constexpr std::size_t kMaxTargets = 1U << 20U;
+
+// Bounds of a snapshot: it comes from a synced file or from another voter.
+wire_limits SnapshotLimits() {
+  wire_limits limits;
+  limits.max_bytes = std::size_t{1} << 30U;
+  limits.max_elements = std::size_t{1} << 21U;
+  return limits;
+}
+
+const history_entry* FindVersion(const std::deque<history_entry>& history,
+                                 std::uint64_t version) {
+  for (const history_entry& entry : history) {
+    if (entry.version == version) return &entry;
+  }
+  return nullptr;
+}
+
+void Refuse(command_outcome* outcome, result_code code, std::string detail) {
+  outcome->code = code;
+  outcome->detail = std::move(detail);
+}
+
+bool SamePlaceAndState(const target_record& left, const target_record& right) {
+  return left.zone == right.zone && left.packets == right.packets &&
+         left.relay == right.relay && left.requests == right.requests &&
+         left.capacity == right.capacity && left.state == right.state;
+}
+
+// The record that an announcement asks for, without id and service.
+target_record RecordOf(const target_announcement& announcement) {
+  target_record target;
+  target.started = announcement.key.started;
+  target.vm = announcement.key.vm;
+  target.zone = announcement.zone;
+  target.packets = announcement.packets;
+  target.relay = announcement.relay;
+  target.requests = announcement.requests;
+  target.capacity = announcement.capacity;
+  target.state =
+      announcement.draining ? target_state::kDraining : target_state::kServing;
+  return target;
+}
+
+}  // namespace
+
+control_state::control_state(control_listener* listener)
+    : listener_(listener) {}
+
+void control_state::Apply(revision at, std::string_view command) {
+  assert(at > applied_);
+  applied_ = at;
+  command_outcome outcome;
+  revision_changes changes;
+  changes.at = at;
+  const auto decoded = DecodeCommand(command);
+  if (decoded) {
+    outcome.tag = decoded->tag;
+    std::visit([&](const auto& body) { Perform(body, &outcome, &changes); },
+               decoded->body);
+  } else {
+    Refuse(&outcome, result_code::kCommandMalformed, "not a command");
+  }
+  if (!changes.changes.empty()) view_.at = at;
+  if (listener_ != nullptr) listener_->OnApplied(outcome, changes);
+}
+
+// --- Submissions ---
+
+const control_state::service_state* control_state::Find(
+    const std::string& service) const {
+  const auto found = services_.find(service);
+  return found == services_.end() ? nullptr : &found->second;
+}
+
+bool control_state::OwnsAddresses(const service_document& document,
+                                  service_id owner, std::string* taken) const {
+  for (const service_address& address : document.addresses) {
+    const auto found = owners_.find({address.where, address.protocol});
+    if (found == owners_.end() || found->second == owner) continue;
+    *taken = ToString(address.where);
+    return false;
+  }
+  return true;
+}
+
+command_outcome control_state::Judge(const submit_document& submission) const {
+  command_outcome outcome;
+  std::vector<failure> failures;
+  const auto document = ParseDocument(submission.canonical_text, &failures);
+  if (!document) {
+    Refuse(&outcome, failures.front().code, failures.front().reason);
+    return outcome;
+  }
+  outcome.service = document->service;
+  outcome.version = document->version;
+  const service_state* known = Find(document->service);
+  const std::uint64_t newest =
+      known == nullptr ? 0 : known->history.back().version;
+  outcome.newest_version = newest;
+
+  // A resend, of the newest or of an earlier version, gets its answer again.
+  const std::uint64_t hash = DocumentHash(*document);
+  const history_entry* same =
+      known == nullptr ? nullptr
+                       : FindVersion(known->history, document->version);
+  const bool is_newest = same != nullptr && same->version == newest;
+  if (same != nullptr && same->hash == hash &&
+      (!is_newest || known->canonical_text == submission.canonical_text)) {
+    outcome.accepted = same->accepted;
+    return outcome;
+  }
+  if (is_newest) {
+    outcome.winner_hash = same->hash;
+    Refuse(&outcome, result_code::kVersionConflict,
+           fmt::format("version {} was taken by content {:016x}", newest,
+                       same->hash));
+    return outcome;
+  }
+  if (document->version <= newest) {
+    if (same != nullptr) outcome.winner_hash = same->hash;
+    Refuse(&outcome, result_code::kVersionStale,
+           fmt::format("version {} is below the accepted {}", document->version,
+                       newest));
+    return outcome;
+  }
+  if (document->version != newest + 1) {
+    Refuse(&outcome, result_code::kVersionGap,
+           fmt::format("version {} is more than one above the accepted {}",
+                       document->version, newest));
+    return outcome;
+  }
+  std::string taken;
+  const service_id owner = known == nullptr ? service_id{} : known->id;
+  if (!OwnsAddresses(*document, owner, &taken)) {
+    Refuse(&outcome, result_code::kAddressTaken,
+           fmt::format("{} belongs to another service", taken));
+  }
+  return outcome;
+}
+
+void control_state::Perform(const submit_document& body,
+                            command_outcome* outcome,
+                            revision_changes* changes) {
+  const std::uint64_t tag = outcome->tag;
+  *outcome = Judge(body);
+  outcome->tag = tag;
+  const bool is_resend = outcome->accepted.value != 0;
+  if (outcome->code != result_code::kOk || is_resend) return;
+
+  std::vector<failure> failures;
+  const auto document = ParseDocument(body.canonical_text, &failures);
+  assert(document.has_value());
+  service_state& known = services_[document->service];
+  if (known.id.value == 0) {
+    known.id = service_id{changes->at.value};
+  } else {
+    for (const service_address& address :
+         view_.services.at(known.id).document.addresses)
+      owners_.erase({address.where, address.protocol});
+  }
+  for (const service_address& address : document->addresses)
+    owners_[{address.where, address.protocol}] = known.id;
+  known.canonical_text = body.canonical_text;
+  known.history.push_back({document->version, DocumentHash(*document),
+                           changes->at, body.submitter});
+  if (known.history.size() > kMaxHistory) known.history.pop_front();
+
+  outcome->accepted = changes->at;
+  outcome->newest_version = document->version;
+  const service_record record{known.id, *document};
+  Change(service_put{record}, changes);
+  DrainIneligible(record, changes);
+}
+
+// Targets that the new document leaves out take no new work; those that it
+// takes in again do.
+void control_state::DrainIneligible(const service_record& service,
+                                    revision_changes* changes) {
+  for (target_record target : view_.TargetsOf(service.id)) {
+    target_extra& extra = extras_.at(target.id);
+    const bool eligible =
+        IsEligible(service.document, target.zone, target.packets.address);
+    const bool serving = target.state == target_state::kServing;
+    if (eligible == serving) continue;
+    if (eligible && !extra.drained_by_document) continue;
+    extra.drained_by_document = !eligible;
+    target.state = eligible ? target_state::kServing : target_state::kDraining;
+    Change(target_put{target}, changes);
+  }
+}
+
+std::vector<history_entry> control_state::History(
+    const std::string& service) const {
+  const service_state* known = Find(service);
+  if (known == nullptr) return {};
+  return {known->history.begin(), known->history.end()};
+}
+
+// --- Membership ---
+
+void control_state::Perform(const membership_batch& body,
+                            command_outcome* outcome,
+                            revision_changes* changes) {
+  for (const target_announcement& join : body.joins)
+    Join(join, outcome, changes);
+  for (const target_key& key : body.drains) Drain(key, changes);
+  for (const target_key& key : body.losses) {
+    const auto id = FindTarget(key);
+    if (id) Remove(*id, changes);
+  }
+}
+
+void control_state::Join(const target_announcement& join,
+                         command_outcome* outcome, revision_changes* changes) {
+  const auto refuse = [&](result_code code, std::uint64_t generation) {
+    outcome->refused.push_back({join.key, code, generation});
+  };
+  const service_state* service = Find(join.key.service);
+  if (service == nullptr) {
+    refuse(result_code::kTargetServiceUnknown, 0);
+    return;
+  }
+  const service_document& document = view_.services.at(service->id).document;
+  if (!IsEligible(document, join.zone, join.packets.address)) {
+    refuse(result_code::kTargetNotEligible, 0);
+    return;
+  }
+  target_record wanted = RecordOf(join);
+  wanted.service = service->id;
+
+  // The same VM's target before, and whoever else holds the address.
+  const auto at_place = places_.find({join.key.vm, service->id});
+  const auto at_endpoint = packet_endpoints_.find(join.packets);
+  std::optional<target_id> before;
+  std::optional<target_id> other;
+  if (at_place != places_.end()) before = at_place->second;
+  if (at_endpoint != packet_endpoints_.end() && at_endpoint->second != before)
+    other = at_endpoint->second;
+  const bool same_start =
+      before && view_.targets.at(*before).started == join.key.started;
+  if (before && !same_start &&
+      extras_.at(*before).generation >= join.generation) {
+    refuse(result_code::kTargetSuperseded, extras_.at(*before).generation);
+    return;
+  }
+  if (other && extras_.at(*other).generation >= join.generation) {
+    refuse(result_code::kTargetSuperseded, extras_.at(*other).generation);
+    return;
+  }
+  if (other) Remove(*other, changes);
+  if (same_start) {
+    Update(*before, wanted, join.generation, changes);
+    return;
+  }
+  if (before) Remove(*before, changes);
+  if (view_.targets.size() >= kMaxTargets) {
+    refuse(result_code::kLeaseTableFull, 0);
+    return;
+  }
+  wanted.id = TakeSlot();
+  extras_[wanted.id].generation = join.generation;
+  places_[{join.key.vm, service->id}] = wanted.id;
+  PutTarget(wanted, changes);
+}
+
+// An announcement of a start that is already a member.
+void control_state::Update(target_id id, target_record wanted,
+                           std::uint64_t generation,
+                           revision_changes* changes) {
+  const target_record& before = view_.targets.at(id);
+  target_extra& extra = extras_.at(id);
+  // Within one start a drain never goes back.
+  if (before.state == target_state::kDraining && !extra.drained_by_document)
+    wanted.state = target_state::kDraining;
+  extra.generation = std::max(extra.generation, generation);
+  wanted.id = id;
+  if (SamePlaceAndState(before, wanted)) return;
+  extra.drained_by_document = false;
+  PutTarget(wanted, changes);
+}
+
+void control_state::Drain(const target_key& key, revision_changes* changes) {
+  const auto id = FindTarget(key);
+  if (!id) return;
+  target_record target = view_.targets.at(*id);
+  extras_.at(*id).drained_by_document = false;
+  if (target.state == target_state::kDraining) return;
+  target.state = target_state::kDraining;
+  Change(target_put{target}, changes);
+}
+
+void control_state::PutTarget(const target_record& target,
+                              revision_changes* changes) {
+  const auto before = view_.targets.find(target.id);
+  if (before != view_.targets.end())
+    packet_endpoints_.erase(before->second.packets);
+  packet_endpoints_[target.packets] = target.id;
+  Change(target_put{target}, changes);
+}
+
+void control_state::Remove(target_id id, revision_changes* changes) {
+  const target_record& target = view_.targets.at(id);
+  places_.erase({target.vm, target.service});
+  const auto at_endpoint = packet_endpoints_.find(target.packets);
+  if (at_endpoint != packet_endpoints_.end() && at_endpoint->second == id)
+    packet_endpoints_.erase(at_endpoint);
+  extras_.erase(id);
+  slots_[id.index].used = false;
+  free_slots_.push_back(id.index);
+  std::push_heap(free_slots_.begin(), free_slots_.end(), std::greater<>());
+  Change(target_removed{id}, changes);
+}
+
+void control_state::Change(view_change change, revision_changes* changes) {
+  // The view reaches the new revision when the whole entry is applied.
+  const revision before = view_.at;
+  view_.Apply({changes->at, {change}});
+  view_.at = before;
+  changes->changes.push_back(std::move(change));
+}
+
+std::optional<target_id> control_state::FindTarget(
+    const target_key& key) const {
+  const service_state* service = Find(key.service);
+  if (service == nullptr) return std::nullopt;
+  const auto found = places_.find({key.vm, service->id});
+  if (found == places_.end()) return std::nullopt;
+  if (view_.targets.at(found->second).started != key.started)
+    return std::nullopt;
+  return found->second;
+}
+
+target_id control_state::TakeSlot() {
+  std::uint32_t index = 0;
+  if (free_slots_.empty()) {
+    index = static_cast<std::uint32_t>(slots_.size());
+    slots_.emplace_back();
+  } else {
+    std::pop_heap(free_slots_.begin(), free_slots_.end(), std::greater<>());
+    index = free_slots_.back();
+    free_slots_.pop_back();
+  }
+  target_slot& slot = slots_[index];
+  assert(!slot.used);
+  slot.used = true;
+  ++slot.sequence;
+  return {index, slot.sequence};
+}
+
+// --- Snapshots ---
+
+std::string control_state::Snapshot() const {
+  wire_writer writer;
+  writer.Array(6);
+  writer.Number(kSnapshotFormat);
+  writer.Write(applied_);
+  writer.Write(view_.at);
+  writer.Array(services_.size());
+  for (const auto& [name, service] : services_) {
+    writer.Array(3);
+    writer.Write(service.id);
+    writer.Text(service.canonical_text);
+    writer.Array(service.history.size());
+    for (const history_entry& entry : service.history) {
+      writer.Array(4);
+      writer.Number(entry.version);
+      writer.Number(entry.hash);
+      writer.Write(entry.accepted);
+      writer.Text(entry.submitter);
+    }
+  }
+  writer.Array(view_.targets.size());
+  for (const auto& [id, target] : view_.targets) {
+    const target_extra& extra = extras_.at(id);
+    writer.Array(3);
+    WriteTarget(&writer, target);
+    writer.Number(extra.generation);
+    writer.Flag(extra.drained_by_document);
+  }
+  writer.Array(slots_.size());
+  for (const target_slot& slot : slots_) writer.Number(slot.sequence);
+  return std::string(writer.bytes());
+}
+
+bool control_state::Restore(std::string_view bytes, failure* last_failure) {
+  const auto fail = [&](const char* reason) {
+    SetFailure(last_failure, result_code::kSnapshotMalformed, reason);
+    return false;
+  };
+  wire_reader reader(bytes, SnapshotLimits());
+  control_state read(listener_);
+  reader.Array();
+  if (reader.Number() != kSnapshotFormat) return fail("unknown format");
+  reader.Read(&read.applied_);
+  reader.Read(&read.view_.at);
+  const std::size_t services = reader.Array();
+  for (std::size_t i = 0; i < services && reader.ok(); ++i) {
+    service_state service;
+    reader.Array();
+    reader.Read(&service.id);
+    service.canonical_text = reader.Text();
+    const std::size_t entries = reader.Array();
+    for (std::size_t j = 0; j < entries && reader.ok(); ++j) {
+      history_entry entry;
+      reader.Array();
+      entry.version = reader.Number();
+      entry.hash = reader.Number();
+      reader.Read(&entry.accepted);
+      entry.submitter = reader.Text();
+      reader.Leave();
+      service.history.push_back(std::move(entry));
+    }
+    reader.Leave();
+    reader.Leave();
+    std::vector<failure> failures;
+    const auto document = ParseDocument(service.canonical_text, &failures);
+    if (!document || service.history.empty()) return fail("bad service");
+    read.view_.services[service.id] = {service.id, *document};
+    read.services_[document->service] = std::move(service);
+  }
+  reader.Leave();
+  const std::size_t targets = reader.Array();
+  for (std::size_t i = 0; i < targets && reader.ok(); ++i) {
+    reader.Array();
+    const target_record target = ReadTarget(&reader);
+    target_extra extra;
+    extra.generation = reader.Number();
+    extra.drained_by_document = reader.Flag();
+    reader.Leave();
+    if (read.view_.services.count(target.service) == 0)
+      return fail("a target without its service");
+    read.view_.targets[target.id] = target;
+    read.extras_[target.id] = extra;
+  }
+  reader.Leave();
+  const std::size_t slots = reader.Array();
+  for (std::size_t i = 0; i < slots && reader.ok(); ++i) {
+    target_slot slot;
+    slot.sequence = static_cast<std::uint32_t>(reader.NumberUpTo(UINT32_MAX));
+    read.slots_.push_back(slot);
+  }
+  reader.Leave();
+  reader.Leave();
+  if (!reader.ok()) return fail("malformed bytes");
+  for (const auto& [id, target] : read.view_.targets) {
+    if (id.index >= read.slots_.size()) return fail("a target without a slot");
+  }
+  read.RebuildIndexes();
+  *this = std::move(read);
+  return true;
+}
+
+void control_state::RebuildIndexes() {
+  for (const auto& [id, service] : view_.services) {
+    for (const service_address& address : service.document.addresses)
+      owners_[{address.where, address.protocol}] = id;
+  }
+  for (const auto& [id, target] : view_.targets) {
+    slots_[id.index].used = true;
+    places_[{target.vm, target.service}] = id;
+    packet_endpoints_[target.packets] = id;
+  }
+  for (std::uint32_t i = 0; i < slots_.size(); ++i) {
+    if (!slots_[i].used) free_slots_.push_back(i);
+  }
+  std::make_heap(free_slots_.begin(), free_slots_.end(), std::greater<>());
+}
+
+}  // namespace tamaracklatch
--- a/src/core/event_id.cc
+++ b/src/core/event_id.cc
@@ -23,8 +23,16 @@
       return "submission_refused";
     case event_id::kInForceEverywhere:
       return "in_force_everywhere";
+    case event_id::kNodeNotHeard:
+      return "node_not_heard";
     case event_id::kRevisionApplied:
       return "revision_applied";
+    case event_id::kSnapshotApplied:
+      return "snapshot_applied";
+    case event_id::kParentChanged:
+      return "parent_changed";
+    case event_id::kStartConfirmed:
+      return "start_confirmed";
     case event_id::kTargetJoined:
       return "target_joined";
     case event_id::kTargetDraining:
@@ -33,6 +41,8 @@
       return "target_left";
     case event_id::kTargetRefused:
       return "target_refused";
+    case event_id::kLossDoubted:
+      return "loss_doubted";
     case event_id::kFlowOpened:
       return "flow_opened";
     case event_id::kFlowClosed:
--- a/src/core/result_code.cc
+++ b/src/core/result_code.cc
@@ -63,12 +63,22 @@
       return "service_unknown";
     case result_code::kAddressTaken:
       return "address_taken";
+    case result_code::kCommandMalformed:
+      return "command_malformed";
+    case result_code::kSnapshotMalformed:
+      return "snapshot_malformed";
+    case result_code::kTooManyWaiting:
+      return "too_many_waiting";
+    case result_code::kRevisionUnconfirmed:
+      return "revision_unconfirmed";
     case result_code::kTargetNotEligible:
       return "target_not_eligible";
     case result_code::kTargetServiceUnknown:
       return "target_service_unknown";
     case result_code::kTargetSuperseded:
       return "target_superseded";
+    case result_code::kLeaseTableFull:
+      return "lease_table_full";
     case result_code::kUsage:
       return "usage";
     case result_code::kBindFailed:
