Place services in buckets; route, own and close flows

Cause: packets need a decision at balancers and target daemons that does not depend on tables sent around.

--- a/include/tamaracklatch/core/result_code.h
+++ b/include/tamaracklatch/core/result_code.h
@@ -56,6 +56,27 @@
   kTargetSuperseded = 702,
 
   // placement and flow: 800 to 899
+  kEnvelopeTruncated = 800,
+  kEnvelopeMalformed = 801,
+  kEnvelopeVersion = 802,
+  kEnvelopeUnauthentic = 803,
+  kWrongService = 804,
+  kWrongIncarnation = 805,
+  kPacketTruncated = 806,
+  kPacketMalformed = 807,
+  kPacketUnsupported = 808,
+  kAddressUnknown = 809,
+  kNoOpenTarget = 810,
+  kFlowUnknown = 811,
+  kFlowTableFull = 812,
+  kHopLimit = 813,
+  kHoldLimit = 814,
+  kViewUnconfirmed = 815,
+  kHeldReportMalformed = 816,
+  kFlowStuck = 820,
+  kFlowIdle = 821,
+  kFlowDrainLimit = 822,
+  kFlowEnded = 823,
 
   // admission and request: 900 to 999
 
--- a/src/core/result_code.cc
+++ b/src/core/result_code.cc
@@ -65,6 +65,48 @@
       return "target_service_unknown";
     case result_code::kTargetSuperseded:
       return "target_superseded";
+    case result_code::kEnvelopeTruncated:
+      return "envelope_truncated";
+    case result_code::kEnvelopeMalformed:
+      return "envelope_malformed";
+    case result_code::kEnvelopeVersion:
+      return "envelope_version";
+    case result_code::kEnvelopeUnauthentic:
+      return "envelope_unauthentic";
+    case result_code::kWrongService:
+      return "wrong_service";
+    case result_code::kWrongIncarnation:
+      return "wrong_incarnation";
+    case result_code::kPacketTruncated:
+      return "packet_truncated";
+    case result_code::kPacketMalformed:
+      return "packet_malformed";
+    case result_code::kPacketUnsupported:
+      return "packet_unsupported";
+    case result_code::kAddressUnknown:
+      return "address_unknown";
+    case result_code::kNoOpenTarget:
+      return "no_open_target";
+    case result_code::kFlowUnknown:
+      return "flow_unknown";
+    case result_code::kFlowTableFull:
+      return "flow_table_full";
+    case result_code::kHopLimit:
+      return "hop_limit";
+    case result_code::kHoldLimit:
+      return "hold_limit";
+    case result_code::kViewUnconfirmed:
+      return "view_unconfirmed";
+    case result_code::kHeldReportMalformed:
+      return "held_report_malformed";
+    case result_code::kFlowStuck:
+      return "flow_stuck";
+    case result_code::kFlowIdle:
+      return "flow_idle";
+    case result_code::kFlowDrainLimit:
+      return "flow_drain_limit";
+    case result_code::kFlowEnded:
+      return "flow_ended";
     case result_code::kUsage:
       return "usage";
     case result_code::kBindFailed:
--- /dev/null
+++ b/src/flow/flow_router.cc
@@ -0,0 +1,175 @@
+// Routing by the cached owner, else by the first candidate.
+#include "tamaracklatch/flow/flow_router.h"
+
+#include <cassert>
+
+#include "flow/owner_cache.h"
+#include "tamaracklatch/core/hash.h"
+
+namespace tamaracklatch {
+namespace {
+
+constexpr std::chrono::seconds kCacheTick{1};
+
+// How long after a change an opening packet still asks the earlier owners.
+constexpr std::chrono::seconds kSettleTime{10};
+
+std::uint64_t CacheHash(service_id service, std::uint64_t flow_hash) {
+  return flow_hash ^ service.value * 0x9e3779b97f4a7c15ULL;
+}
+
+candidate CandidateOf(const placed_target& target) {
+  return {target.id, target.started, target.packets};
+}
+
+void AddOnce(const placed_target& target, envelope* what) {
+  if (what->IndexOf(target.id) != kNoCandidate) return;
+  if (!what->Add(CandidateOf(target))) what->exhaustive = false;
+}
+
+// Lists the current candidates, then the earlier owners.
+void ListCandidates(const placed_service& service, std::uint64_t hash,
+                    time_point now, envelope* what) {
+  const service_placement& placement = *service.current;
+  const bucket_candidates two =
+      placement.CandidatesOf(placement.BucketOf(hash));
+  what->candidate_count = 0;
+  for (const std::uint16_t index : {two.first, two.second}) {
+    if (index != kNoTarget) AddOnce(placement.targets()[index], what);
+  }
+  if (service.past.empty()) return;
+  const time_point since =
+      what->opens == flow_opening::kYes ? now - kSettleTime : time_point::min();
+  for (const placed_target* owner : PastOwners(service, hash, since))
+    AddOnce(*owner, what);
+}
+
+}  // namespace
+
+std::size_t flow_router::address_hash::operator()(
+    const address_key& key) const noexcept {
+  const std::uint64_t tail = std::uint64_t{key.where.port} << 8U |
+                             static_cast<std::uint8_t>(key.protocol);
+  return HashBytes(key.where.address.bytes.data(),
+                   key.where.address.bytes.size(), tail);
+}
+
+flow_router::flow_router(const flow_router_settings& settings)
+    : settings_(settings),
+      cache_(std::make_unique<owner_cache>(
+          settings.max_cached_flows,
+          static_cast<std::uint32_t>(settings.cached_for / kCacheTick))) {}
+
+flow_router::~flow_router() = default;
+
+void flow_router::Reset(const cluster_view& view, time_point now) {
+  table_.Reset(view, now);
+  ListAddresses();
+}
+
+void flow_router::Apply(const revision_changes& step, time_point now) {
+  table_.Apply(step, now);
+  for (const view_change& change : step.changes) {
+    if (std::holds_alternative<service_put>(change) ||
+        std::holds_alternative<service_removed>(change)) {
+      ListAddresses();
+      return;
+    }
+  }
+}
+
+void flow_router::ListAddresses() {
+  addresses_.clear();
+  for (const auto& [id, service] : table_.services()) {
+    for (const service_address& each : service.record.document.addresses)
+      addresses_[{each.where, each.protocol}] = {id, &service};
+  }
+}
+
+std::uint32_t flow_router::Ticks(time_point now) const {
+  // Never 0, which marks an empty entry.
+  return static_cast<std::uint32_t>(now.time_since_epoch() / kCacheTick) + 1;
+}
+
+result_code flow_router::Route(const packet& what, time_point now,
+                               routed_packet* out) {
+  const endpoint destination{what.key.destination, what.key.destination_port};
+  const auto found = addresses_.find({destination, what.key.protocol});
+  if (found == addresses_.end()) {
+    counters_.refused.Add(result_code::kAddressUnknown);
+    return result_code::kAddressUnknown;
+  }
+  const placed_service& service = *found->second.service;
+  const std::uint64_t hash = HashFlow(what.key);
+
+  envelope* sent = &out->what;
+  sent->kind = envelope_kind::kPacket;
+  sent->opens = what.opens;
+  sent->must_open = false;
+  sent->exhaustive = true;
+  sent->service = found->second.id;
+  sent->at = service.changed_at;
+  sent->key = what.key;
+  sent->origin = settings_.self;
+  sent->hops = 0;
+  sent->load = 0;
+  sent->best = kNoCandidate;
+  sent->visited = 0;
+  sent->payload = what.bytes;
+  ListCandidates(service, hash, now, sent);
+
+  const placed_target* to = nullptr;
+  const std::optional<target_id> owner =
+      cache_->Find(CacheHash(sent->service, hash), Ticks(now));
+  if (owner) to = service.current->Find(*owner);
+  sent->wants_hint = to == nullptr;
+  if (to != nullptr) {
+    ++counters_.cached;
+  } else if (sent->candidate_count > 0) {
+    to = service.current->Find(sent->candidates[0].id);
+  } else if (what.opens == flow_opening::kNo &&
+             !service.current->targets().empty()) {
+    // Nothing opens, but any target daemon can look for the owner.
+    const std::vector<placed_target>& targets = service.current->targets();
+    to = &targets[(hash >> 32U) % targets.size()];
+  }
+  if (to == nullptr) {
+    counters_.refused.Add(result_code::kNoOpenTarget);
+    return result_code::kNoOpenTarget;
+  }
+  sent->target = to->id;
+  sent->started = to->started;
+  out->to = to->packets;
+  out->relay = to->relay;
+  ++counters_.routed;
+  return result_code::kOk;
+}
+
+router_action flow_router::OnEnvelope(const envelope& what, time_point now) {
+  const std::uint64_t hash = CacheHash(what.service, HashFlow(what.key));
+  switch (what.kind) {
+    case envelope_kind::kHint:
+      ++counters_.hints;
+      cache_->Put(hash, what.target, Ticks(now));
+      return nothing_to_send{};
+    case envelope_kind::kForget:
+      cache_->Remove(hash, what.target);
+      return nothing_to_send{};
+    case envelope_kind::kAnswer:
+      return send_to_caller{what.key, what.payload};
+    case envelope_kind::kReset:
+      cache_->Remove(hash, what.target);
+      return reset_caller{what.key, what.target};
+    case envelope_kind::kPacket:
+    case envelope_kind::kReport:
+      break;
+  }
+  counters_.refused.Add(result_code::kEnvelopeMalformed);
+  return nothing_to_send{result_code::kEnvelopeMalformed};
+}
+
+std::size_t flow_router::cached_flows() const { return cache_->size(); }
+
+std::size_t flow_router::CacheBytes() const { return cache_->MemoryBytes(); }
+
+}  // namespace tamaracklatch
--- /dev/null
+++ b/src/flow/packet.cc
@@ -0,0 +1,155 @@
+// IP, TCP and UDP headers, as the system's netinet headers declare them.
+#include "tamaracklatch/flow/packet.h"
+
+#include <netinet/in.h>
+#include <netinet/ip.h>
+#include <netinet/ip6.h>
+#include <netinet/tcp.h>
+#include <netinet/udp.h>
+
+#include <cstring>
+
+namespace tamaracklatch {
+namespace {
+
+constexpr std::size_t kWordBytes = 4;  // unit of header lengths
+
+// The part of a packet above IP.
+struct transport_part {
+  std::uint8_t protocol = 0;
+  std::string_view bytes;
+};
+
+std::nullopt_t Refuse(failure* last_failure, result_code code,
+                      const char* reason) {
+  SetFailure(last_failure, code, reason);
+  return std::nullopt;
+}
+
+// Copies a header from the front; the caller has checked the size.
+template <typename Header>
+Header ReadHeader(std::string_view bytes) {
+  Header header;
+  std::memcpy(&header, bytes.data(), sizeof(header));
+  return header;
+}
+
+std::optional<transport_part> ReadV4(std::string_view bytes, flow_key* key,
+                                     failure* last_failure) {
+  if (bytes.size() < sizeof(iphdr))
+    return Refuse(last_failure, result_code::kPacketTruncated, "IPv4 header");
+  const auto header = ReadHeader<iphdr>(bytes);
+  const std::size_t header_size = header.ihl * kWordBytes;
+  const std::size_t total = ntohs(header.tot_len);
+  if (header_size < sizeof(iphdr) || total < header_size)
+    return Refuse(last_failure, result_code::kPacketMalformed, "IPv4 lengths");
+  if (total > bytes.size())
+    return Refuse(last_failure, result_code::kPacketTruncated, "IPv4 packet");
+  if ((ntohs(header.frag_off) & (IP_MF | IP_OFFMASK)) != 0)
+    return Refuse(last_failure, result_code::kPacketUnsupported, "fragment");
+  key->source = MakeV4(ntohl(header.saddr));
+  key->destination = MakeV4(ntohl(header.daddr));
+  return transport_part{header.protocol,
+                        bytes.substr(header_size, total - header_size)};
+}
+
+std::optional<transport_part> ReadV6(std::string_view bytes, flow_key* key,
+                                     failure* last_failure) {
+  if (bytes.size() < sizeof(ip6_hdr))
+    return Refuse(last_failure, result_code::kPacketTruncated, "IPv6 header");
+  const auto header = ReadHeader<ip6_hdr>(bytes);
+  const std::size_t length = ntohs(header.ip6_plen);
+  if (bytes.size() - sizeof(ip6_hdr) < length)
+    return Refuse(last_failure, result_code::kPacketTruncated, "IPv6 packet");
+  std::memcpy(key->source.bytes.data(), &header.ip6_src,
+              key->source.bytes.size());
+  std::memcpy(key->destination.bytes.data(), &header.ip6_dst,
+              key->destination.bytes.size());
+  if (key->source.IsV4() || key->destination.IsV4())
+    return Refuse(last_failure, result_code::kPacketMalformed, "mapped IPv4");
+  // Extension headers are refused with the other protocols: none is needed by
+  // TCP or UDP, and fragments have one.
+  return transport_part{header.ip6_nxt, bytes.substr(sizeof(ip6_hdr), length)};
+}
+
+std::optional<tcp_segment> ReadTcp(std::string_view bytes, flow_key* key,
+                                   failure* last_failure) {
+  if (bytes.size() < sizeof(tcphdr))
+    return Refuse(last_failure, result_code::kPacketTruncated, "TCP header");
+  const auto header = ReadHeader<tcphdr>(bytes);
+  const std::size_t header_size = header.doff * kWordBytes;
+  if (header_size < sizeof(tcphdr))
+    return Refuse(last_failure, result_code::kPacketMalformed, "TCP offset");
+  if (header_size > bytes.size())
+    return Refuse(last_failure, result_code::kPacketTruncated, "TCP options");
+  key->source_port = ntohs(header.source);
+  key->destination_port = ntohs(header.dest);
+  tcp_segment segment;
+  segment.sequence = ntohl(header.seq);
+  segment.acknowledged = ntohl(header.ack_seq);
+  segment.payload_bytes =
+      static_cast<std::uint32_t>(bytes.size() - header_size);
+  segment.syn = header.syn != 0;
+  segment.fin = header.fin != 0;
+  segment.rst = header.rst != 0;
+  segment.ack = header.ack != 0;
+  if (segment.syn && (segment.fin || segment.rst)) {
+    return Refuse(last_failure, result_code::kPacketMalformed,
+                  "SYN with FIN or RST");
+  }
+  return segment;
+}
+
+bool ReadUdp(std::string_view bytes, flow_key* key, failure* last_failure) {
+  if (bytes.size() < sizeof(udphdr)) {
+    SetFailure(last_failure, result_code::kPacketTruncated, "UDP header");
+    return false;
+  }
+  const auto header = ReadHeader<udphdr>(bytes);
+  const std::size_t length = ntohs(header.len);
+  if (length < sizeof(udphdr) || length > bytes.size()) {
+    SetFailure(last_failure, result_code::kPacketMalformed, "UDP length");
+    return false;
+  }
+  key->source_port = ntohs(header.source);
+  key->destination_port = ntohs(header.dest);
+  return true;
+}
+
+}  // namespace
+
+std::optional<parsed_packet> ParseIpPacket(std::string_view bytes,
+                                           failure* last_failure) {
+  if (bytes.empty())
+    return Refuse(last_failure, result_code::kPacketTruncated, "empty");
+  parsed_packet parsed;
+  flow_key* key = &parsed.what.key;
+  const unsigned version = static_cast<std::uint8_t>(bytes[0]) >> 4U;
+  std::optional<transport_part> part;
+  if (version == 4) {
+    part = ReadV4(bytes, key, last_failure);
+  } else if (version == 6) {
+    part = ReadV6(bytes, key, last_failure);
+  } else {
+    return Refuse(last_failure, result_code::kPacketMalformed, "IP version");
+  }
+  if (!part) return std::nullopt;
+
+  if (part->protocol == IPPROTO_TCP) {
+    parsed.tcp = ReadTcp(part->bytes, key, last_failure);
+    if (!parsed.tcp) return std::nullopt;
+    key->protocol = ip_protocol::kTcp;
+    const bool opens = parsed.tcp->syn && !parsed.tcp->ack;
+    parsed.what.opens = opens ? flow_opening::kYes : flow_opening::kNo;
+  } else if (part->protocol == IPPROTO_UDP) {
+    if (!ReadUdp(part->bytes, key, last_failure)) return std::nullopt;
+    key->protocol = ip_protocol::kUdp;
+    parsed.what.opens = flow_opening::kUnknown;
+  } else {
+    return Refuse(last_failure, result_code::kPacketUnsupported, "protocol");
+  }
+  parsed.what.bytes = bytes;
+  return parsed;
+}
+
+}  // namespace tamaracklatch
--- /dev/null
+++ b/src/placement/service_placement.cc
@@ -0,0 +1,190 @@
+// Weighted rendezvous hashing with a bound on load.
+#include "tamaracklatch/placement/service_placement.h"
+
+#include <algorithm>
+#include <cassert>
+
+#include "placement/fixed_log.h"
+#include "tamaracklatch/core/hash.h"
+
+namespace tamaracklatch {
+namespace {
+
+// How many ranks of a bucket are kept before a full ranking is needed.
+constexpr std::size_t kRanks = 4;
+
+struct ranked_target {
+  std::uint64_t cost = 0;  // the lowest wins
+  std::uint16_t index = kNoTarget;
+
+  friend bool operator<(const ranked_target& left, const ranked_target& right) {
+    return left.cost != right.cost ? left.cost < right.cost
+                                   : left.index < right.index;
+  }
+};
+
+// A mixer of two words that is much cheaper than a hash of bytes.
+std::uint64_t Mix(std::uint64_t word) {
+  word ^= word >> 32U;
+  word *= 0xd6e8feb86659fd93ULL;
+  word ^= word >> 32U;
+  word *= 0xd6e8feb86659fd93ULL;
+  word ^= word >> 32U;
+  return word;
+}
+
+// What a target brings to every bucket's ranking.
+struct contender {
+  std::uint64_t salt = 0;
+  std::uint32_t weight = 0;
+  std::uint16_t index = 0;
+  std::uint64_t limit = 0;  // buckets that it may own
+  std::uint64_t first = 0;  // buckets that it owns so far
+  std::uint64_t second = 0;
+};
+
+// Ranks contenders and hands out buckets in order.
+class bucket_assigner {
+ public:
+  bucket_assigner(const std::vector<placed_target>& targets,
+                  std::uint32_t bucket_count) {
+    std::uint64_t total = 0;
+    for (std::size_t at = 0; at < targets.size(); ++at) {
+      const placed_target& target = targets[at];
+      if (!target.opens) continue;
+      contender next;
+      next.salt = HashPair(target.id.index, target.id.sequence);
+      next.weight = target.weight;
+      next.index = static_cast<std::uint16_t>(at);
+      contenders_.push_back(next);
+      total += target.weight;
+    }
+    if (contenders_.empty()) return;
+    assert(total > 0);  // what opens has a weight
+    for (contender& each : contenders_) {
+      const std::uint64_t share =
+          std::uint64_t{bucket_count} * each.weight * (100 + kLoadBoundPercent);
+      each.limit = (share + total * 100 - 1) / (total * 100) + 1;
+    }
+  }
+
+  bucket_candidates Assign(std::uint32_t bucket) {
+    if (contenders_.empty()) return {};
+    Rank(bucket, kRanks);
+    contender* first = Take(nullptr, bucket, &contender::first);
+    bucket_candidates result;
+    result.first = first->index;
+    if (contenders_.size() == 1) return result;
+    result.second = Take(first, bucket, &contender::second)->index;
+    return result;
+  }
+
+ private:
+  // Fills `ranks_` with the `count` best of the bucket, in order.
+  void Rank(std::uint32_t bucket, std::size_t count) {
+    ranks_.clear();
+    const std::uint64_t seed = Mix(std::uint64_t{bucket} + 1);
+    for (std::size_t at = 0; at < contenders_.size(); ++at) {
+      const contender& each = contenders_[at];
+      const ranked_target next{
+          NegativeLog2(Mix(seed ^ each.salt)) / each.weight,
+          static_cast<std::uint16_t>(at)};
+      if (ranks_.size() == count && !(next < ranks_.back())) continue;
+      if (ranks_.size() == count) ranks_.pop_back();
+      ranks_.insert(std::upper_bound(ranks_.begin(), ranks_.end(), next), next);
+    }
+  }
+
+  // The best other than `except` that is below its limit of `count`.
+  contender* Take(const contender* except, std::uint32_t bucket,
+                  std::uint64_t contender::*count) {
+    for (int round = 0; round < 2; ++round) {
+      for (const ranked_target& rank : ranks_) {
+        contender* found = &contenders_[rank.index];
+        if (found == except || found->*count >= found->limit) continue;
+        ++(found->*count);
+        return found;
+      }
+      Rank(bucket, contenders_.size());
+    }
+    // Only the excepted one has room: the bound gives way.
+    for (const ranked_target& rank : ranks_) {
+      contender* found = &contenders_[rank.index];
+      if (found != except) return found;
+    }
+    assert(false);
+    return nullptr;
+  }
+
+  std::vector<contender> contenders_;
+  std::vector<ranked_target> ranks_;
+};
+
+std::vector<placed_target> Weigh(const service_document& document,
+                                 const std::vector<target_record>& targets) {
+  std::vector<placed_target> placed;
+  placed.reserve(targets.size());
+  for (const target_record& target : targets) {
+    placed_target next;
+    next.id = target.id;
+    next.started = target.started;
+    next.packets = target.packets;
+    next.relay = target.relay;
+    next.weight = TargetWeight(document, target.zone, target.packets.address,
+                               target.capacity);
+    next.opens = next.weight > 0 && target.state == target_state::kServing;
+    placed.push_back(next);
+  }
+  return placed;
+}
+
+}  // namespace
+
+std::uint32_t BucketCount(std::size_t targets) {
+  std::uint32_t count = kMinBuckets;
+  while (count < targets * kBucketsPerTarget && count < kMaxBuckets) count *= 2;
+  return count;
+}
+
+service_placement::service_placement(revision at,
+                                     const service_document& document,
+                                     const std::vector<target_record>& targets)
+    : service_placement(at, Weigh(document, targets)) {}
+
+service_placement::service_placement(revision at,
+                                     std::vector<placed_target> targets)
+    : at_(at), targets_(std::move(targets)) {
+  std::sort(targets_.begin(), targets_.end(),
+            [](const placed_target& left, const placed_target& right) {
+              return left.id < right.id;
+            });
+  if (targets_.size() > kMaxPlacedTargets) targets_.resize(kMaxPlacedTargets);
+  bucket_count_ = BucketCount(targets_.size());
+}
+
+bucket_candidates service_placement::CandidatesOf(std::uint32_t bucket) const {
+  assert(bucket < bucket_count_);
+  if (buckets_.empty()) ComputeBuckets();
+  return buckets_[bucket];
+}
+
+const placed_target* service_placement::Find(target_id id) const {
+  const auto found = std::lower_bound(
+      targets_.begin(), targets_.end(), id,
+      [](const placed_target& each, target_id key) { return each.id < key; });
+  return found != targets_.end() && found->id == id ? &*found : nullptr;
+}
+
+std::size_t service_placement::MemoryBytes() const {
+  return sizeof(*this) + targets_.capacity() * sizeof(placed_target) +
+         buckets_.capacity() * sizeof(bucket_candidates);
+}
+
+void service_placement::ComputeBuckets() const {
+  bucket_assigner assigner(targets_, bucket_count_);
+  buckets_.reserve(bucket_count_);
+  for (std::uint32_t bucket = 0; bucket < bucket_count_; ++bucket)
+    buckets_.push_back(assigner.Assign(bucket));
+}
+
+}  // namespace tamaracklatch
--- /dev/null
+++ b/tests/flow/envelope_test.cc
@@ -0,0 +1,175 @@
+// Tests of the envelope: what is written is read again, and any other bytes are
+// refused with a number.
+#include "tamaracklatch/flow/envelope.h"
+
+#include <string>
+
+#include "flow/sign.h"
+#include "support/property.h"
+#include "tamaracklatch/placement/held_buckets.h"
+
+namespace tamaracklatch {
+namespace {
+
+constexpr envelope_key kKey{1, 2,  3,  4,  5,  6,  7,  8,
+                            9, 10, 11, 12, 13, 14, 15, 16};
+constexpr envelope_key kOtherKey{9};
+
+ip_address SomeAddress() {
+  if (*rc::gen::arbitrary<bool>())
+    return MakeV4(*rc::gen::arbitrary<std::uint32_t>());
+  ip_address address;
+  for (std::uint8_t& byte : address.bytes)
+    byte = *rc::gen::arbitrary<std::uint8_t>();
+  return address;
+}
+
+endpoint SomeEndpoint() {
+  return {SomeAddress(), *rc::gen::arbitrary<std::uint16_t>()};
+}
+
+envelope SomeEnvelope(const std::string& payload) {
+  envelope what;
+  what.kind = static_cast<envelope_kind>(*rc::gen::inRange(0, 6));
+  what.opens = static_cast<flow_opening>(*rc::gen::inRange(0, 3));
+  what.wants_hint = *rc::gen::arbitrary<bool>();
+  what.must_open = *rc::gen::arbitrary<bool>();
+  what.exhaustive = *rc::gen::arbitrary<bool>();
+  what.service = {*rc::gen::arbitrary<std::uint64_t>()};
+  what.target = {*rc::gen::arbitrary<std::uint32_t>(),
+                 *rc::gen::arbitrary<std::uint32_t>()};
+  what.started = {*rc::gen::arbitrary<std::uint64_t>()};
+  what.at = {*rc::gen::arbitrary<std::uint64_t>()};
+  what.key = {SomeAddress(), SomeAddress(),
+              *rc::gen::arbitrary<std::uint16_t>(),
+              *rc::gen::arbitrary<std::uint16_t>(), ip_protocol::kTcp};
+  what.origin = SomeEndpoint();
+  what.hops =
+      static_cast<std::uint8_t>(*rc::gen::inRange(0, int{kMaxHops} + 1));
+  what.load = *rc::gen::arbitrary<std::uint32_t>();
+  const auto count =
+      static_cast<std::uint32_t>(*rc::gen::inRange(0, int{kMaxVisits} + 1));
+  for (std::uint32_t index = 0; index < count; ++index) {
+    what.Add(
+        {{index, 1}, {*rc::gen::arbitrary<std::uint64_t>()}, SomeEndpoint()});
+  }
+  if (count > 0) {
+    what.best =
+        static_cast<std::uint8_t>(*rc::gen::inRange<std::uint32_t>(0, count));
+    what.visited = static_cast<std::uint16_t>(*rc::gen::inRange(0, 1 << count));
+  }
+  what.payload = payload;
+  return what;
+}
+
+bool Same(const envelope& left, const envelope& right) {
+  bool same = left.kind == right.kind && left.opens == right.opens &&
+              left.wants_hint == right.wants_hint &&
+              left.must_open == right.must_open &&
+              left.exhaustive == right.exhaustive &&
+              left.service == right.service && left.target == right.target &&
+              left.started == right.started && left.at == right.at &&
+              left.key == right.key && left.origin == right.origin &&
+              left.hops == right.hops && left.load == right.load &&
+              left.best == right.best && left.visited == right.visited &&
+              left.payload == right.payload &&
+              left.candidate_count == right.candidate_count;
+  for (std::size_t at = 0; same && at < left.candidate_count; ++at)
+    same = left.candidates[at] == right.candidates[at];
+  return same;
+}
+
+Test(envelope, reads_what_was_written) {
+  test::CheckProperty("every field survives", [](const std::string& payload) {
+    const envelope what = SomeEnvelope(payload);
+    std::string bytes;
+    EncodeEnvelope(what, kKey, &bytes);
+    const auto read = DecodeEnvelope(bytes, kKey, nullptr);
+    RC_ASSERT(read.has_value());
+    RC_ASSERT(Same(what, *read));
+  });
+}
+
+Test(envelope, refuses_cut_and_changed_bytes) {
+  test::CheckProperty("no change goes unseen", [](const std::string& payload) {
+    std::string bytes;
+    EncodeEnvelope(SomeEnvelope(payload), kKey, &bytes);
+    const auto size = *rc::gen::inRange<std::size_t>(0, bytes.size());
+    RC_ASSERT(!DecodeEnvelope(bytes.substr(0, size), kKey, nullptr));
+    RC_ASSERT(!DecodeEnvelope(bytes, kOtherKey, nullptr));
+    bytes[size] =
+        static_cast<char>(bytes[size] ^ (1 << *rc::gen::inRange(0, 8)));
+    failure why;
+    RC_ASSERT(!DecodeEnvelope(bytes, kKey, &why));
+    RC_ASSERT(why.code >= result_code::kEnvelopeTruncated);
+    RC_ASSERT(why.code <= result_code::kEnvelopeUnauthentic);
+  });
+}
+
+// A sender with the key may still be wrong: each field is bounded by itself.
+Test(envelope, refuses_fields_out_of_range) {
+  struct row {
+    std::size_t byte;
+    char value;
+    result_code expected;
+  };
+  constexpr row kRows[] = {
+      {0, 'x', result_code::kEnvelopeMalformed},
+      {1, 9, result_code::kEnvelopeVersion},
+      {2, 6, result_code::kEnvelopeMalformed},
+      {3, 0x03, result_code::kEnvelopeMalformed},
+      {3, 0x20, result_code::kEnvelopeMalformed},
+      {40, 0x01, result_code::kEnvelopeMalformed},  // visited past the list
+      {42, 3, result_code::kEnvelopeMalformed},     // best past the list
+      {43, kMaxHops + 1, result_code::kEnvelopeMalformed},
+      {44, kMaxVisits + 1, result_code::kEnvelopeMalformed},
+      {44, 5, result_code::kEnvelopeTruncated},  // more than there are
+      {45, 1, result_code::kEnvelopeMalformed},  // protocol
+      {46, 5, result_code::kEnvelopeMalformed},  // address family
+  };
+  for (const row& each : kRows) {
+    std::string sound;
+    EncodeEnvelope(envelope(), kKey, &sound);
+    std::string covered = sound.substr(0, sound.size() - 8);
+    covered[each.byte] = each.value;
+    // The code is made anew over the changed bytes, as the sender would.
+    std::string bytes = test::Sign(covered, kKey);
+    failure why;
+    cr_assert(!DecodeEnvelope(bytes, kKey, &why));
+    cr_assert(why.code == each.expected, "byte %zu: %s", each.byte,
+              ToString(why).c_str());
+  }
+}
+
+Test(held_buckets, reads_what_was_written) {
+  test::CheckProperty("reports survive", [](std::uint64_t hash) {
+    held_buckets report;
+    report.service = {7};
+    report.target = {1, 2};
+    report.at = {9};
+    report.bucket_count = 1U << *rc::gen::inRange(6, 12);
+    report.bits.resize(report.bucket_count / 64);
+    const auto bucket =
+        static_cast<std::uint32_t>(hash & (report.bucket_count - 1));
+    report.Set(bucket);
+    const std::string bytes = EncodeHeldBuckets(report);
+    const auto read = DecodeHeldBuckets(bytes, nullptr);
+    RC_ASSERT(read.has_value());
+    RC_ASSERT(read->bits == report.bits);
+    RC_ASSERT(read->MayHold(hash));
+    RC_ASSERT(!read->MayHold(hash + 1));
+    const auto size = *rc::gen::inRange<std::size_t>(0, bytes.size());
+    RC_ASSERT(!DecodeHeldBuckets(bytes.substr(0, size), nullptr));
+  });
+}
+
+Test(held_buckets, survives_any_bytes) {
+  test::CheckProperty(
+      "no bytes crash the reader", [](const std::string& bytes) {
+        const auto read = DecodeHeldBuckets(bytes, nullptr);
+        RC_ASSERT(!read || read->bits.size() == read->bucket_count / 64);
+      });
+}
+
+}  // namespace
+}  // namespace tamaracklatch
