--- /dev/null
+++ b/src/daemon/controld.cc
@@ -0,0 +1,4 @@
+#include "tamaracklatch/daemon/daemons.h"
+namespace tamaracklatch {
+int RunControld(const controld_settings&) { return 1; }
+}  // namespace tamaracklatch
