--- /dev/null
+++ b/src/daemon/consensus_agent.cc
@@ -0,0 +1,121 @@
+// Running a consensus_runner on the event loop. Inputs that arrive together
+// share one flush, and so one sync.
+#include "daemon/consensus_agent.h"
+
+#include <algorithm>
+
+namespace tamaracklatch {
+
+consensus_agent::consensus_agent(process_frame* frame, link_hub* hub,
+                                 const controld_settings& settings,
+                                 replicated_state_machine* machine)
+    : frame_(frame),
+      hub_(hub),
+      settings_(settings),
+      machine_(machine),
+      storage_({settings.process.data_folder}),
+      timer_(frame->loop()) {}
+
+consensus_settings consensus_agent::ConsensusSettings() const {
+  consensus_settings result;
+  result.name = settings_.process.name;
+  for (const voter_settings& voter : settings_.voters) {
+    result.founders.push_back(voter.name);
+    if (voter.name != result.name) result.peers.push_back(voter.name);
+  }
+  return result;
+}
+
+bool consensus_agent::Start(failure* last_failure) {
+  runner_ =
+      consensus_runner::Start(ConsensusSettings(), &storage_, machine_, this,
+                              frame_->random(), frame_->Now(), last_failure);
+  if (!runner_) return false;
+  hub_->SetHandler(frame_kind::kConsensus, [this](const std::string&,
+                                                  const std::string& body) {
+    failure why;
+    auto message = DecodeConsensusMessage(body, &why);
+    if (message) return Handle(message_received{std::move(*message)});
+    frame_->counts().Count("tamaracklatch_malformed_messages_total",
+                           "Messages that could not be read.");
+  });
+  FlushSoon();
+  return true;
+}
+
+void consensus_agent::Propose(std::string command, consensus_reply reply) {
+  const std::uint64_t id = next_id_++;
+  waiting_[id] = std::move(reply);
+  Handle(command_proposed{id, std::move(command)});
+}
+
+void consensus_agent::Read(consensus_reply reply) {
+  const std::uint64_t id = next_id_++;
+  waiting_[id] = std::move(reply);
+  Handle(read_asked{id});
+}
+
+void consensus_agent::ChangeVoter(voter_change_asked::change_kind kind,
+                                  const vm_name& name, consensus_reply reply) {
+  const std::uint64_t id = next_id_++;
+  waiting_[id] = std::move(reply);
+  Handle(voter_change_asked{id, kind, name});
+}
+
+void consensus_agent::Handle(const consensus_input& input) {
+  runner_->Handle(input, frame_->Now());
+  FlushSoon();
+}
+
+void consensus_agent::FlushSoon() {
+  if (flush_posted_) return;
+  flush_posted_ = true;
+  asio::post(frame_->loop(), [this] {
+    flush_posted_ = false;
+    runner_->Flush(frame_->Now());
+    Schedule();
+  });
+}
+
+void consensus_agent::Schedule() {
+  timer_.expires_after(
+      std::max(runner_->NextDeadline() - frame_->Now(), duration::zero()));
+  timer_.async_wait([this](asio::error_code error) {
+    if (!error) Handle(timer_due{});
+  });
+}
+
+void consensus_agent::OnSend(const consensus_message& message) {
+  const auto found =
+      std::find_if(settings_.voters.begin(), settings_.voters.end(),
+                   [&](const voter_settings& voter) {
+                     return voter.name == message.to.name;
+                   });
+  const endpoint where =
+      found == settings_.voters.end() ? endpoint() : found->links;
+  hub_->Send(message.to.name, where, frame_kind::kConsensus,
+             EncodeConsensusMessage(message));
+}
+
+void consensus_agent::OnProposalOutcome(const proposal_outcome& outcome) {
+  Answer(outcome.id, outcome.code, outcome.index);
+}
+
+void consensus_agent::OnReadOutcome(const read_outcome& outcome) {
+  Answer(outcome.id, outcome.code, outcome.index);
+}
+
+void consensus_agent::OnEvent(const event& what) {
+  frame_->events().OnEvent(what);
+}
+
+void consensus_agent::Answer(std::uint64_t id, result_code code,
+                             revision index) {
+  const auto found = waiting_.find(id);
+  if (found == waiting_.end()) return;
+  const consensus_reply reply = std::move(found->second);
+  waiting_.erase(found);
+  reply(code, index);
+}
+
+}  // namespace tamaracklatch
--- /dev/null
+++ b/src/daemon/consensus_agent.h
@@ -0,0 +1,68 @@
+// The consensus slice in a control VM: runs a consensus_runner over the
+// process's links and the files of its data folder.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "daemon/process_frame.h"
+#include "tamaracklatch/consensus/consensus_runner.h"
+#include "tamaracklatch/consensus/file_log_storage.h"
+#include "transport/link_hub.h"
+
+namespace tamaracklatch {
+
+// Called once with what became of a proposal or a read.
+using consensus_reply = std::function<void(result_code code, revision index)>;
+
+class consensus_agent : public consensus_listener {
+ public:
+  // All of them must outlive the agent.
+  consensus_agent(process_frame* frame, link_hub* hub,
+                  const controld_settings& settings,
+                  replicated_state_machine* machine);
+
+  // Loads the log and starts. On failure returns false and says why.
+  bool Start(failure* last_failure);
+
+  // Asks the log to take a command.
+  void Propose(std::string command, consensus_reply reply);
+
+  // Asks up to which revision this VM must have applied to know all that was
+  // accepted before now.
+  void Read(consensus_reply reply);
+
+  // Adds or removes a voter.
+  void ChangeVoter(voter_change_asked::change_kind kind, const vm_name& name,
+                   consensus_reply reply);
+
+  const consensus_node& node() const { return runner_->node(); }
+
+  void OnSend(const consensus_message& message) override;
+  void OnProposalOutcome(const proposal_outcome& outcome) override;
+  void OnReadOutcome(const read_outcome& outcome) override;
+  void OnEvent(const event& what) override;
+
+ private:
+  void Handle(const consensus_input& input);
+  void FlushSoon();
+  void Schedule();
+  void Answer(std::uint64_t id, result_code code, revision index);
+  consensus_settings ConsensusSettings() const;
+
+  process_frame* frame_;
+  link_hub* hub_;
+  controld_settings settings_;
+  replicated_state_machine* machine_;
+  file_log_storage storage_;
+  std::unique_ptr<consensus_runner> runner_;
+  asio::steady_timer timer_;
+  std::map<std::uint64_t, consensus_reply>
+      waiting_;  // by the id of the proposal or read
+  std::uint64_t next_id_ = 1;
+  bool flush_posted_ = false;
+};
+
+}  // namespace tamaracklatch
--- a/src/daemon/controld.cc
+++ b/src/daemon/controld.cc
@@ -1,4 +1,206 @@
+// The control daemon: one voter of the replicated log, the operators' API, the
+// root of the distribution of revisions and the keeper of the targets' leases.
+#include <fmt/format.h>
+
+#include <cstdio>
+
+#include "daemon/consensus_agent.h"
+#include "daemon/control_api.h"
+#include "daemon/membership_frame.h"
+#include "daemon/process_frame.h"
+#include "daemon/view_agent.h"
+#include "tamaracklatch/control/control_state.h"
 #include "tamaracklatch/daemon/daemons.h"
+#include "tamaracklatch/membership/lease_table.h"
+#include "transport/link_hub.h"
+
 namespace tamaracklatch {
-int RunControld(const controld_settings&) { return 1; }
+namespace {
+
+constexpr std::chrono::milliseconds kQuorumInterval{
+    500};  // between confirmations that the quorum agrees
+constexpr std::chrono::milliseconds kLeaseInterval{
+    100};  // between looks at the leases
+
+relay_settings RelaySettings(const controld_settings& settings,
+                             const process_frame& frame) {
+  relay_settings result;
+  result.self = {settings.process.name, frame.self().started};
+  result.zone = settings.process.zone;
+  result.where = settings.listen_links;
+  result.is_source = true;
+  return result;
+}
+
+lease_settings LeaseSettings(const controld_settings& settings) {
+  lease_settings result;
+  result.relay = settings.process.vm;
+  result.zone = settings.process.zone;
+  return result;
+}
+
+// The control state as the log drives it.
+class control_machine : public replicated_state_machine {
+ public:
+  control_machine(control_state* state, std::function<void()> on_restored)
+      : state_(state), on_restored_(std::move(on_restored)) {}
+
+  void Apply(revision index, std::string_view command) override {
+    state_->Apply(index, command);
+  }
+  std::string Snapshot() override { return state_->Snapshot(); }
+
+  bool Restore(std::string_view snapshot, failure* last_failure) override {
+    if (!state_->Restore(snapshot, last_failure)) return false;
+    on_restored_();
+    return true;
+  }
+
+ private:
+  control_state* state_;
+  std::function<void()> on_restored_;
+};
+
+class controld {
+ public:
+  explicit controld(const controld_settings& settings)
+      : settings_(settings),
+        frame_(settings.process, process_role::kControl),
+        hub_(&frame_.loop(), frame_.links(), &frame_.clock(), &frame_.events()),
+        api_(&frame_, settings, &state_),
+        state_(&api_),
+        machine_(&state_, [this] { OnRestored(); }),
+        consensus_(&frame_, &hub_, settings, &machine_),
+        view_(&frame_, &hub_, RelaySettings(settings, frame_), nullptr),
+        leases_(LeaseSettings(settings)) {
+    api_.SetAgents(&consensus_, &view_);
+    view_.SetQuorumChecker(
+        [this](const quorum_check& check) { CheckQuorum(check); });
+    hub_.SetHandler(frame_kind::kMembership,
+                    [this](const std::string& peer, const std::string& body) {
+                      OnMembership(peer, body);
+                    });
+  }
+
+  int Run() {
+    failure why;
+    if (!Start(&why)) {
+      fmt::print(stderr, "{}\n", ToString(why));
+      return 1;
+    }
+    frame_.Every(kQuorumInterval, [this] { HearQuorum(); });
+    frame_.Every(kLeaseInterval, [this] { ReportLeases(); });
+    view_.Start();
+    frame_.Run([this] { frame_.Stop(); });
+    return 0;
+  }
+
+ private:
+  bool Start(failure* why) {
+    if (!consensus_.Start(why)) return false;
+    if (!hub_.Listen(settings_.listen_links, why)) return false;
+    const auto handle = [this](const http_request& request,
+                               const http_reply& reply) {
+      api_.Handle(request, reply);
+    };
+    return frame_.ServeHttp(settings_.listen_http, handle, why);
+  }
+
+  void OnRestored() {
+    view_.Perform(view_.node().Reset(state_.view(), frame_.Now()));
+  }
+
+  void CheckQuorum(const quorum_check& check) {
+    consensus_.Read([this, check](result_code code, revision) {
+      if (code != result_code::kOk) return;
+      view_.Perform(view_.node().OnQuorumChecked(check.peer, check.number,
+                                                 state_.view().at));
+    });
+  }
+
+  // What the quorum confirms to a read was true when the read was asked.
+  void HearQuorum() {
+    const time_point asked = frame_.Now();
+    consensus_.Read([this, asked](result_code code, revision) {
+      if (code == result_code::kOk) view_.node().OnQuorumHeard(asked);
+    });
+    view_.Perform(view_.node().SetLeader(LeaderContact(), asked));
+  }
+
+  std::optional<relay_contact> LeaderContact() const {
+    const auto& leader = consensus_.node().leader();
+    if (!leader || leader->name == settings_.process.name) return std::nullopt;
+    for (const voter_settings& voter : settings_.voters) {
+      if (voter.name == leader->name)
+        return relay_contact{voter.name, {}, voter.links, 0};
+    }
+    return std::nullopt;
+  }
+
+  void OnMembership(const std::string& peer, const std::string& body) {
+    const auto message = DecodeMembershipFrame(body);
+    if (!message) return;
+    if (const auto* renewal = std::get_if<lease_renewal>(&*message)) {
+      const lease_answer answer =
+          leases_.OnRenewal(*renewal, state_.view(), frame_.Now());
+      hub_.Send(peer, {}, frame_kind::kMembership,
+                EncodeMembershipFrame(answer));
+    } else if (const auto* report = std::get_if<membership_report>(&*message)) {
+      TakeReport(peer, *report);
+    } else if (const auto* answer = std::get_if<membership_answer>(&*message)) {
+      leases_.OnReportAnswer(*answer, frame_.Now());
+    }
+  }
+
+  void ReportLeases() {
+    const auto report = leases_.OnTick(state_.view(), frame_.Now());
+    if (!report) return;
+    const auto leader = LeaderContact();
+    if (leader)
+      return hub_.Send(leader->name, leader->where, frame_kind::kMembership,
+                       EncodeMembershipFrame(*report));
+    TakeReport({}, *report);
+  }
+
+  // At the leader: what changed goes into the log; the answer tells the relay
+  // that it was received.
+  void TakeReport(const std::string& peer, const membership_report& report) {
+    if (consensus_.node().role() != consensus_role::kLeader) return;
+    membership_batch batch;
+    for (const target_announcement& target : report.alive) {
+      const target_record* known = FindTarget(state_.view(), target.key);
+      if (known == nullptr) batch.joins.push_back(target);
+      if (target.draining &&
+          (known == nullptr || known->state == target_state::kServing)) {
+        batch.drains.push_back(target.key);
+      }
+    }
+    for (const target_key& key : report.silent) {
+      if (FindTarget(state_.view(), key) != nullptr)
+        batch.losses.push_back(key);
+    }
+    if (!batch.empty()) api_.ProposeMembership(batch);
+    const membership_answer answer{
+        report.number, consensus_.node().term().value, {}};
+    if (peer.empty()) return leases_.OnReportAnswer(answer, frame_.Now());
+    hub_.Send(peer, {}, frame_kind::kMembership, EncodeMembershipFrame(answer));
+  }
+
+  controld_settings settings_;
+  process_frame frame_;
+  link_hub hub_;
+  control_api api_;
+  control_state state_;
+  control_machine machine_;
+  consensus_agent consensus_;
+  view_agent view_;
+  lease_table leases_;
+};
+
+}  // namespace
+
+int RunControld(const controld_settings& settings) {
+  return controld(settings).Run();
+}
+
 }  // namespace tamaracklatch
