--- a/include/tamaracklatch/core/result_code.h
+++ b/include/tamaracklatch/core/result_code.h
@@ -49,6 +49,7 @@
   kUnauthorized = 505,
   kServiceUnknown = 506,
   kAddressTaken = 507,
+  kTargetUnknown = 520,
   kCommandMalformed = 508,
   kSnapshotMalformed = 509,
   kTooManyWaiting = 510,
--- a/src/core/result_code.cc
+++ b/src/core/result_code.cc
@@ -63,6 +63,8 @@
       return "service_unknown";
     case result_code::kAddressTaken:
       return "address_taken";
+    case result_code::kTargetUnknown:
+      return "target_unknown";
     case result_code::kCommandMalformed:
       return "command_malformed";
     case result_code::kSnapshotMalformed:
