Write, merge and draw the time line of all processes

Cause: to see what the system does, its users need the events of all processes in one order that never shows an effect before its cause, whatever the clocks of the VMs say.

Commands `timeline` and `check` of tamaracklatch. Event 1003, codes 1000 to 1002.

--- a/include/tamaracklatch/core/result_code.h
+++ b/include/tamaracklatch/core/result_code.h
@@ -88,6 +88,9 @@
   // admission and request: 900 to 999
 
   // timeline: 1000 to 1099
+  kTimelineLineMalformed = 1000,
+  kTimelineFileUnreadable = 1001,
+  kTimelineBadFilter = 1002,
 
   // daemon: 1100 to 1199
   kUsage = 1100,
--- a/programs/tamaracklatch.cc
+++ b/programs/tamaracklatch.cc
@@ -7,7 +7,9 @@
 #include <string>
 #include <vector>
 
+#include "tamaracklatch/daemon/check_command.h"
 #include "tamaracklatch/daemon/commands.h"
+#include "tamaracklatch/timeline/timeline_command.h"
 
 // The flag macros define names that the linter does not know.
 // NOLINTBEGIN(readability-identifier-naming)
@@ -18,6 +20,16 @@
              "Longest time for the whole command, in milliseconds.");
 DEFINE_bool(wait, false,
             "submit: return only when the document is in force everywhere.");
+DEFINE_string(service, "", "timeline: only the events of this service.");
+DEFINE_string(flow, "",
+              "timeline: only the events of this flow, in hexadecimal.");
+DEFINE_string(request, "", "timeline: only the events of this request.");
+DEFINE_string(submission, "",
+              "timeline: only SERVICE@VERSION, and how it spread.");
+DEFINE_string(since, "",
+              "timeline: only events from this UTC time on, as "
+              "2026-01-31T23:59:59Z.");
+DEFINE_string(html, "", "timeline: draw a page into this file.");
 // NOLINTEND(readability-identifier-naming)
 
 namespace {
@@ -29,8 +41,23 @@
   history SERVICE      accepted versions of a service's document
   drain SERVICE VM     let the targets on a VM take no new work for a service
   voters               the control VMs and who leads them
+  timeline FILE...     merge the time lines of several processes in causal order
+  check FILE...        validate settings and documents without running them
 )";
 
+tamaracklatch::timeline_command TimelineCommand(
+    const std::vector<std::string>& files) {
+  tamaracklatch::timeline_command command;
+  command.files = files;
+  command.service = FLAGS_service;
+  command.flow = FLAGS_flow;
+  command.request = FLAGS_request;
+  command.submission = FLAGS_submission;
+  command.since = FLAGS_since;
+  command.html = FLAGS_html;
+  return command;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -38,6 +65,17 @@
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   tamaracklatch::command_line line;
   line.arguments.assign(argv + 1, argv + argc);
+  if (!line.arguments.empty()) {
+    const std::string& word = line.arguments[0];
+    const std::vector<std::string> files(line.arguments.begin() + 1,
+                                         line.arguments.end());
+    if (word == "check")
+      return tamaracklatch::RunCheck(files, std::cout, std::cerr);
+    if (word == "timeline") {
+      return tamaracklatch::RunTimeline(TimelineCommand(files), std::cout,
+                                        std::cerr);
+    }
+  }
   line.control = FLAGS_control;
   line.token = FLAGS_token;
   line.timeout = std::chrono::milliseconds(FLAGS_timeout_milliseconds);
--- a/src/core/event_id.cc
+++ b/src/core/event_id.cc
@@ -13,6 +13,8 @@
       return "process_stopped";
     case event_id::kAddressNotOpened:
       return "address_not_opened";
+    case event_id::kTimelineDropped:
+      return "timeline_dropped";
     case event_id::kLinkUp:
       return "link_up";
     case event_id::kLinkDown:
--- a/src/core/result_code.cc
+++ b/src/core/result_code.cc
@@ -121,6 +121,12 @@
       return "flow_drain_limit";
     case result_code::kFlowEnded:
       return "flow_ended";
+    case result_code::kTimelineLineMalformed:
+      return "timeline_line_malformed";
+    case result_code::kTimelineFileUnreadable:
+      return "timeline_file_unreadable";
+    case result_code::kTimelineBadFilter:
+      return "timeline_bad_filter";
     case result_code::kUsage:
       return "usage";
     case result_code::kBindFailed:
