--- a/include/tamaracklatch/core/event_id.h
+++ b/include/tamaracklatch/core/event_id.h
@@ -15,7 +15,7 @@
   kProcessStopping = 1001,
   kProcessStopped = 1002,
   kAddressNotOpened = 1003,
-  kTimelineDropped = 1003,
+  kTimelineDropped = 1010,
 
   // transport: 1100 to 1199
   kLinkUp = 1100,
