--- a/include/tamaracklatch/membership/announcement.h
+++ b/include/tamaracklatch/membership/announcement.h
@@ -86,6 +86,8 @@
   std::uint64_t number = 0;
   std::uint64_t term = 0;  // of the leader; a new one asks for reports again
   std::vector<refused_target> refused;  // since the last answer
+  // Silent targets that another relay holds a lease for: not to be reported.
+  std::vector<target_key> held_elsewhere;
 };
 
 // The log entry: applied in the order joins, drains, losses.
--- a/include/tamaracklatch/membership/lease_table.h
+++ b/include/tamaracklatch/membership/lease_table.h
@@ -61,8 +61,9 @@
 
   std::string TargetFault(const target_announcement& target,
                           const cluster_view& view, result_code* code) const;
-  bool NeedsReport(const lease_state& lease, const cluster_view& view,
+  bool NeedsReport(const lease_state& lease, const target_record* shown,
                    time_point now) const;
+  std::vector<target_key> KnownKeys() const;
   void ExpireLeases(time_point now);
   void ScheduleReport(time_point at);
 
@@ -75,8 +76,4 @@
   time_point next_report_ = time_point::max();
 };
 
-// The target of that key in the view, or null.
-const target_record* FindTarget(const cluster_view& view,
-                                const target_key& key);
-
 }  // namespace tamaracklatch
--- a/src/membership/announcement.cc
+++ b/src/membership/announcement.cc
@@ -133,7 +133,7 @@
 
 std::string Encode(const membership_answer& message) {
   wire_writer writer;
-  writer.Array(3);
+  writer.Array(4);
   writer.Number(message.number);
   writer.Number(message.term);
   writer.Array(3 * message.refused.size());
@@ -142,6 +142,8 @@
     writer.Number(static_cast<std::uint64_t>(target.code));
     writer.Number(target.newest_generation);
   }
+  writer.Array(message.held_elsewhere.size());
+  for (const target_key& key : message.held_elsewhere) WriteKey(&writer, key);
   return std::string(writer.bytes());
 }
 
@@ -161,6 +163,10 @@
     message.refused.push_back(std::move(target));
   }
   reader.Leave();
+  const std::size_t held = reader.Array();
+  for (std::size_t i = 0; i < held && reader.ok(); ++i)
+    message.held_elsewhere.push_back(ReadKey(&reader));
+  reader.Leave();
   reader.Leave();
   if (!reader.ok()) return std::nullopt;
   return message;
--- a/src/membership/lease_table.cc
+++ b/src/membership/lease_table.cc
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 
+#include "tamaracklatch/membership/target_lookup.h"
+
 namespace tamaracklatch {
 namespace {
 
@@ -15,8 +17,7 @@
 constexpr duration kSilentRetention = std::chrono::minutes(10);
 
 // Whether the view shows the target as it announces itself.
-bool IsShown(const target_announcement& target, const cluster_view& view) {
-  const target_record* shown = FindTarget(view, target.key);
+bool IsShown(const target_announcement& target, const target_record* shown) {
   if (shown == nullptr) return false;
   const bool drains = shown->state == target_state::kDraining;
   return shown->packets == target.packets && shown->relay == target.relay &&
@@ -34,18 +35,6 @@
 
 }  // namespace
 
-const target_record* FindTarget(const cluster_view& view,
-                                const target_key& key) {
-  const service_record* service = view.FindService(key.service);
-  if (service == nullptr) return nullptr;
-  for (const auto& [id, target] : view.targets) {
-    if (target.started == key.started && target.vm == key.vm &&
-        target.service == service->id)
-      return &target;
-  }
-  return nullptr;
-}
-
 lease_table::lease_table(const lease_settings& settings)
     : settings_(settings) {}
 
@@ -127,26 +116,36 @@
 }
 
 bool lease_table::NeedsReport(const lease_state& lease,
-                              const cluster_view& view, time_point now) const {
+                              const target_record* shown,
+                              time_point now) const {
   if (lease.refusal != result_code::kOk) return false;
   const bool is_recent = now - lease.acquired < settings_.recent;
-  return (!lease.received && is_recent) || !IsShown(lease.target, view);
+  return (!lease.received && is_recent) || !IsShown(lease.target, shown);
+}
+
+std::vector<target_key> lease_table::KnownKeys() const {
+  std::vector<target_key> keys;
+  for (const auto& [key, lease] : leases_) keys.push_back(key);
+  for (const auto& [key, expired] : silent_) keys.push_back(key);
+  return keys;
 }
 
 std::optional<membership_report> lease_table::OnTick(const cluster_view& view,
                                                      time_point now) {
   ExpireLeases(now);
   if (now < next_report_) return std::nullopt;
+  const target_lookup shown(view, KnownKeys());
   membership_report report;
   report.relay = settings_.relay;
   report.zone = settings_.zone;
   report.leases_held = static_cast<std::uint32_t>(leases_.size());
   for (const auto& [key, lease] : leases_) {
     if (report.alive.size() >= settings_.max_batch) break;
-    if (NeedsReport(lease, view, now)) report.alive.push_back(lease.target);
+    if (NeedsReport(lease, shown.Find(key), now))
+      report.alive.push_back(lease.target);
   }
   for (auto silent = silent_.begin(); silent != silent_.end();) {
-    const bool is_over = FindTarget(view, silent->first) == nullptr ||
+    const bool is_over = shown.Find(silent->first) == nullptr ||
                          now - silent->second > kSilentRetention;
     if (is_over) {
       silent = silent_.erase(silent);
@@ -181,6 +180,7 @@
     found->second.newest_generation = refused.newest_generation;
     found->second.refused_until = now + kRefusalRetention;
   }
+  for (const target_key& key : answer.held_elsewhere) silent_.erase(key);
   if (answer.term > term_) {
     // A new leader knows nothing of what the one before was told.
     term_ = answer.term;
--- /dev/null
+++ b/tests/control/submission_gate_test.cc
@@ -0,0 +1,142 @@
+// A golden session: from an operator's text to "in force everywhere", with
+// racing and lost answers.
+#include "tamaracklatch/control/submission_gate.h"
+
+#include <fmt/format.h>
+
+#include <string>
+
+#include "support/golden.h"
+#include "tamaracklatch/control/in_force_tracker.h"
+
+namespace tamaracklatch {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr const char* kDocument = R"({
+  // the booking desk
+  "service": "booking-desk", "version": 1,
+  "addresses": ["127.0.0.1:7001/udp"]
+})";
+constexpr const char* kSpacedDocument =
+    R"({"addresses":["127.0.0.1:7001/udp"],"version":1,"service":"booking-desk"})";
+constexpr const char* kRival =
+    R"({"service":"booking-desk","version":1,"addresses":["127.0.0.1:7002/udp"]})";
+
+// A leader whose log accepts at once, later or never.
+class session : public control_listener {
+ public:
+  session()
+      : tokens_({{"desk-team", "secret-1", {"booking-desk"}},
+                 {"card-team", "secret-2", {"card-archive"}}}),
+        gate_({}, &tokens_, 7),
+        state_(this),
+        tracker_({}) {}
+
+  void OnApplied(const command_outcome& outcome,
+                 const revision_changes& changes) override {
+    if (!changes.changes.empty()) tracker_.OnAccepted(changes.at);
+    Write(gate_.OnApplied(outcome));
+  }
+
+  void Submit(const char* what, const char* service, const char* text,
+              const char* token) {
+    out_ += fmt::format("{}\n", what);
+    const auto actions = gate_.Submit(++requests_, service, text, token, now_);
+    for (const submission_action& action : actions) {
+      if (const auto* proposal = std::get_if<propose_command>(&action))
+        log_.push_back(proposal->command);
+    }
+    Write(actions);
+  }
+
+  void Accept() {
+    for (const std::string& command : log_)
+      state_.Apply(revision{++entries_}, command);
+    log_.clear();
+  }
+
+  void LoseLeadership() {
+    out_ += "leadership lost\n";
+    Write(gate_.OnLeadershipLost());
+  }
+
+  void Wait(duration span) {
+    now_ += span;
+    Write(gate_.OnTick(now_));
+  }
+
+  void Acknowledge(std::uint32_t nodes, std::uint32_t heard, revision at) {
+    std::vector<node_identity> names;
+    for (std::uint32_t i = 0; i < heard; ++i)
+      names.push_back({fmt::format("node-{}", i), incarnation{1}});
+    progress applied{at, 0, 0};
+    for (std::uint32_t i = 0; i < nodes; ++i) {
+      ++applied.nodes;
+      applied.identities += HashIdentity(names[i]);
+    }
+    tracker_.Update({applied}, names, {}, now_);
+    const in_force_status status = tracker_.Status(at);
+    out_ += fmt::format("in force on {} of {}{}", status.applied, status.nodes,
+                        status.everywhere_since ? ", everywhere" : "");
+    for (const std::string& name : status.not_heard)
+      out_ += fmt::format(", not heard: {}", name);
+    out_ += '\n';
+  }
+
+  const std::string& out() const { return out_; }
+
+ private:
+  void Write(const submission_gate::actions& actions) {
+    for (const submission_action& action : actions) {
+      const auto* answer = std::get_if<submission_answer>(&action);
+      if (answer == nullptr) continue;
+      out_ += fmt::format("  {}: HTTP {} {} at revision {}\n", answer->request,
+                          submission_gate::HttpStatus(answer->code),
+                          ToString(answer->code), answer->accepted.value);
+      for (const failure& why : answer->failures)
+        out_ += fmt::format("    {}\n", ToString(why));
+    }
+  }
+
+  access_tokens tokens_;
+  submission_gate gate_;
+  control_state state_;
+  in_force_tracker tracker_;
+  time_point now_;
+  std::uint64_t requests_ = 0;
+  std::uint64_t entries_ = 0;
+  std::vector<std::string> log_;
+  std::string out_;
+};
+
+Test(control, golden_session_of_a_submission) {
+  session run;
+  run.Submit("wrong token", "booking-desk", kDocument, "secret-2");
+  run.Submit("faulty document", "booking-desk",
+             R"({"service":"booking-desk","version":0})", "secret-1");
+  run.Submit("another service's path", "booking-desk",
+             R"({"service":"x","version":1,"addresses":["127.0.0.1:1/udp"]})",
+             "secret-1");
+  run.Submit("first", "booking-desk", kDocument, "secret-1");
+  run.LoseLeadership();
+  run.Accept();
+  run.Submit("resent in other words", "booking-desk", kSpacedDocument,
+             "secret-1");
+  run.Accept();
+  run.Submit("a rival with the same version", "booking-desk", kRival,
+             "secret-1");
+  run.Accept();
+  run.Submit("the quorum is gone", "booking-desk", kDocument, "secret-1");
+  run.Wait(seconds(5));
+  run.Acknowledge(1, 3, revision{1});
+  run.Acknowledge(2, 3, revision{1});
+  run.Acknowledge(2, 2, revision{1});
+  run.Acknowledge(3, 3, revision{1});
+  test::CheckGolden("control/golden/submission.txt", run.out());
+}
+
+}  // namespace
+}  // namespace tamaracklatch
