--- a/include/tamaracklatch/core/event_id.h
+++ b/include/tamaracklatch/core/event_id.h
@@ -41,6 +41,8 @@
   kTargetLeft = 2302,
   kTargetRefused = 2303,
   kLossDoubted = 2304,
+  kTargetEjected = 2320,
+  kTargetRestored = 2321,
 
   // flow: 2400 to 2499
   kFlowOpened = 2400,
@@ -49,6 +51,10 @@
   kEnvelopeDropped = 2403,
 
   // request: 2500 to 2599
+  kRequestRefused = 2500,
+  kAnswerDropped = 2501,
+  kKeyOutcomeUnknown = 2502,
+  kSlotsChanged = 2503,
 
 };
 
--- a/include/tamaracklatch/core/result_code.h
+++ b/include/tamaracklatch/core/result_code.h
@@ -86,6 +86,22 @@
   kFlowEnded = 823,
 
   // admission and request: 900 to 999
+  kClassUnknown = 900,
+  kQueueFull = 901,
+  kCallerLimit = 902,
+  kDeadlineUnmeetable = 903,
+  kDeadlinePassed = 904,
+  kDraining = 905,
+  kKeyMalformed = 906,
+  kKeyFromFuture = 907,
+  kKeyReused = 908,
+  kKeyMoving = 909,
+  kAnswerForgotten = 910,
+  kTargetShed = 911,
+  kTargetUnreachable = 912,
+  kAnswerBroken = 913,
+  kTooManyResends = 914,
+  kKeyClosed = 915,
 
   // timeline: 1000 to 1099
 
--- /dev/null
+++ b/src/admission/class_queue.cc
@@ -0,0 +1,150 @@
+// Fair turns among the callers of a class and the credit of its share.
+#include "admission/class_queue.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace tamaracklatch {
+namespace {
+
+// Weight of the newest run in the usual time.
+constexpr double kNewestWeight = 0.1;
+
+double Seconds(duration time) {
+  return std::chrono::duration<double>(time).count();
+}
+
+}  // namespace
+
+class_queue::class_queue(request_class limits, double floor,
+                         duration credit_time)
+    : limits_(std::move(limits)),
+      floor_(floor),
+      credit_time_(credit_time),
+      credit_(floor * Seconds(credit_time)) {}
+
+void class_queue::Change(request_class limits, double floor) {
+  limits_ = std::move(limits);
+  floor_ = floor;
+  Advance(duration(0));
+}
+
+void class_queue::Advance(duration elapsed) {
+  const double grown = credit_ + (floor_ - running_) * Seconds(elapsed);
+  credit_ = std::clamp(grown, 0.0, floor_ * Seconds(credit_time_));
+}
+
+std::size_t class_queue::CountOf(caller_id caller) const {
+  const auto found = callers_.find(caller);
+  if (found == callers_.end()) return 0;
+  return found->second.waiting.size() + found->second.running;
+}
+
+void class_queue::Push(const waiting_request& request) {
+  caller_state& caller = callers_[request.caller];
+  caller.waiting.push_back(request);
+  ++waiting_;
+}
+
+std::optional<waiting_request> class_queue::Peek(bool fair_turns) const {
+  const caller_state* next = nullptr;
+  for (const auto& [id, caller] : callers_) {
+    if (caller.waiting.empty()) continue;
+    if (next == nullptr || IsBefore(caller, *next, fair_turns)) next = &caller;
+  }
+  if (next == nullptr) return std::nullopt;
+  return next->waiting.front();
+}
+
+bool class_queue::IsBefore(const caller_state& left, const caller_state& right,
+                           bool fair_turns) {
+  if (!fair_turns) {
+    return left.waiting.front().order < right.waiting.front().order;
+  }
+  if (left.running != right.running) return left.running < right.running;
+  if (left.last_turn != right.last_turn) {
+    return left.last_turn < right.last_turn;
+  }
+  return left.waiting.front().order < right.waiting.front().order;
+}
+
+std::optional<waiting_request> class_queue::Remove(request_id id,
+                                                   caller_id caller) {
+  const auto found = callers_.find(caller);
+  if (found == callers_.end()) return std::nullopt;
+  auto& waiting = found->second.waiting;
+  const auto at = std::find_if(
+      waiting.begin(), waiting.end(),
+      [id](const waiting_request& request) { return request.id == id; });
+  if (at == waiting.end()) return std::nullopt;
+  const waiting_request removed = *at;
+  waiting.erase(at);
+  --waiting_;
+  if (waiting.empty() && found->second.running == 0) callers_.erase(found);
+  return removed;
+}
+
+std::optional<waiting_request> class_queue::Displace(caller_id caller) const {
+  const auto own = callers_.find(caller);
+  std::size_t most =
+      1 + (own == callers_.end() ? 0 : own->second.waiting.size());
+  const caller_state* heaviest = nullptr;
+  for (const auto& [id, other] : callers_) {
+    if (other.waiting.size() <= most) continue;
+    most = other.waiting.size();
+    heaviest = &other;
+  }
+  if (heaviest == nullptr) return std::nullopt;
+  return heaviest->waiting.back();
+}
+
+void class_queue::Began(caller_id caller) {
+  caller_state& state = callers_[caller];
+  ++state.running;
+  state.last_turn = ++turns_;
+  ++running_;
+}
+
+void class_queue::Ended(caller_id caller) {
+  const auto found = callers_.find(caller);
+  assert(found != callers_.end() && found->second.running > 0);
+  --found->second.running;
+  --running_;
+  if (found->second.waiting.empty() && found->second.running == 0) {
+    callers_.erase(found);
+  }
+}
+
+void class_queue::Learn(duration service_time) {
+  if (usual_time_ == duration(0)) {
+    usual_time_ = service_time;
+    return;
+  }
+  const double newest = static_cast<double>(service_time.count());
+  const double usual = static_cast<double>(usual_time_.count());
+  usual_time_ = duration(
+      static_cast<duration::rep>(usual + kNewestWeight * (newest - usual)));
+}
+
+std::size_t class_queue::Ahead(caller_id caller) const {
+  const auto own = callers_.find(caller);
+  const std::size_t turns =
+      own == callers_.end() ? 1 : own->second.waiting.size() + 1;
+  std::size_t ahead = 0;
+  for (const auto& [id, other] : callers_) {
+    ahead += id == caller ? turns - 1 : std::min(turns, other.waiting.size());
+  }
+  return ahead;
+}
+
+std::vector<waiting_request> class_queue::Waiting() const {
+  std::vector<waiting_request> all;
+  all.reserve(waiting_);
+  for (const auto& [id, caller] : callers_) {
+    all.insert(all.end(), caller.waiting.begin(), caller.waiting.end());
+  }
+  return all;
+}
+
+}  // namespace tamaracklatch
--- a/src/core/event_id.cc
+++ b/src/core/event_id.cc
@@ -53,6 +53,18 @@
       return "flow_refused";
     case event_id::kEnvelopeDropped:
       return "envelope_dropped";
+    case event_id::kRequestRefused:
+      return "request_refused";
+    case event_id::kAnswerDropped:
+      return "answer_dropped";
+    case event_id::kKeyOutcomeUnknown:
+      return "key_outcome_unknown";
+    case event_id::kSlotsChanged:
+      return "slots_changed";
+    case event_id::kTargetEjected:
+      return "target_ejected";
+    case event_id::kTargetRestored:
+      return "target_restored";
   }
   return "unknown";
 }
--- a/src/core/result_code.cc
+++ b/src/core/result_code.cc
@@ -121,6 +121,38 @@
       return "flow_drain_limit";
     case result_code::kFlowEnded:
       return "flow_ended";
+    case result_code::kClassUnknown:
+      return "class_unknown";
+    case result_code::kQueueFull:
+      return "queue_full";
+    case result_code::kCallerLimit:
+      return "caller_limit";
+    case result_code::kDeadlineUnmeetable:
+      return "deadline_unmeetable";
+    case result_code::kDeadlinePassed:
+      return "deadline_passed";
+    case result_code::kDraining:
+      return "draining";
+    case result_code::kKeyMalformed:
+      return "key_malformed";
+    case result_code::kKeyFromFuture:
+      return "key_from_future";
+    case result_code::kKeyReused:
+      return "key_reused";
+    case result_code::kKeyMoving:
+      return "key_moving";
+    case result_code::kAnswerForgotten:
+      return "answer_forgotten";
+    case result_code::kTargetShed:
+      return "target_shed";
+    case result_code::kTargetUnreachable:
+      return "target_unreachable";
+    case result_code::kAnswerBroken:
+      return "answer_broken";
+    case result_code::kTooManyResends:
+      return "too_many_resends";
+    case result_code::kKeyClosed:
+      return "key_closed";
     case result_code::kUsage:
       return "usage";
     case result_code::kBindFailed:
