--- a/include/tamaracklatch/admission/admission_queue.h
+++ b/include/tamaracklatch/admission/admission_queue.h
@@ -42,7 +42,8 @@
   admission_policy policy;
   // Unused share that a class may save up, as time at its guaranteed share.
   duration credit_time = std::chrono::seconds(2);
-  // Whether the callers of a class are served in turn, else in order of arrival.
+  // Whether the callers of a class are served in turn, else in order of
+  // arrival.
   bool fair_turns = true;
   // Whether requests that can't meet their deadline are refused on arrival.
   bool refuse_early = true;
