Stamp links and the time line by one hybrid clock

Cause: the time line needs one causal order over all processes. Change: the daemons share a hybrid_clock between their links and the time line writer, which hears every event. Conclusion: timeline files of a run can be merged.

--- a/src/daemon/process_frame.cc
+++ b/src/daemon/process_frame.cc
@@ -15,10 +15,19 @@
   return number;
 }
 
-std::uint64_t WallMicroseconds() {
-  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
-  return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<duration>(since_epoch).count());
+wall_time WallClock() {
+  return std::chrono::time_point_cast<duration>(
+      std::chrono::system_clock::now());
+}
+
+std::unique_ptr<timeline_writer> OpenTimeline(const process_settings& settings,
+                                              hybrid_clock* clock) {
+  if (settings.timeline_file.empty()) return nullptr;
+  timeline_writer_settings writer;
+  writer.source = {settings.name, settings.vm, settings.zone};
+  writer.file.path = settings.timeline_file;
+  writer.file.max_bytes = settings.timeline_file_bytes;
+  return std::make_unique<timeline_writer>(writer, clock, WallClock);
 }
 
 std::string LevelName(log_level level) {
@@ -39,13 +48,10 @@
 
 }  // namespace
 
-std::uint64_t process_clock::Stamp() {
-  last_ = std::max(last_ + 1, WallMicroseconds());
-  return last_;
-}
+std::uint64_t process_clock::Stamp() { return clock_.Tick(WallClock()).value; }
 
 void process_clock::Observe(std::uint64_t stamp) {
-  last_ = std::max(last_, stamp);
+  clock_.Merge({stamp}, WallClock());
 }
 
 // Work that is done again and again.
@@ -75,7 +81,8 @@
       random_(RandomNumber()),
       counts_(settings.name, settings.zone) {
   StartLog(LevelName(settings.level));
-  log_ = std::make_unique<event_log>(settings.name, &counts_, nullptr);
+  timeline_ = OpenTimeline(settings, &clock_.clock());
+  log_ = std::make_unique<event_log>(settings.name, &counts_, timeline_.get());
   links_.key = settings.link_key;
   links_.self = {settings.name, settings.vm, settings.zone, role,
                  incarnation{RandomNumber()}};
@@ -129,9 +136,6 @@
   return time_point(std::chrono::duration_cast<duration>(since_start));
 }
 
-wall_time process_frame::WallNow() const {
-  return std::chrono::time_point_cast<duration>(
-      std::chrono::system_clock::now());
-}
+wall_time process_frame::WallNow() const { return WallClock(); }
 
 }  // namespace tamaracklatch
--- a/src/daemon/process_frame.h
+++ b/src/daemon/process_frame.h
@@ -13,19 +13,21 @@
 #include "tamaracklatch/core/random.h"
 #include "tamaracklatch/core/time.h"
 #include "tamaracklatch/daemon/settings.h"
+#include "tamaracklatch/timeline/timeline_writer.h"
 #include "transport/link.h"
 
 namespace tamaracklatch {
 
-// The process's hybrid logical clock as links use it: wall microseconds, never
-// behind what was seen.
+// The process's hybrid clock as links and the time line share it.
 class process_clock : public link_clock {
  public:
   std::uint64_t Stamp() override;
   void Observe(std::uint64_t stamp) override;
 
+  hybrid_clock& clock() { return clock_; }
+
  private:
-  std::uint64_t last_ = 0;  // the newest stamp given or seen
+  hybrid_clock clock_;
 };
 
 // Invariant: everything runs on the one event loop.
@@ -68,8 +70,10 @@
   asio::signal_set signals_;
   random_source random_;
   metrics counts_;
-  std::unique_ptr<event_log> log_;
   process_clock clock_;
+  std::unique_ptr<timeline_writer>
+      timeline_;  // null where the settings name no file
+  std::unique_ptr<event_log> log_;
   link_settings links_;
   std::unique_ptr<http_server> http_;
   std::vector<std::unique_ptr<ticker>> tickers_;
