--- a/src/daemon/controld.cc
+++ b/src/daemon/controld.cc
@@ -12,6 +12,7 @@
 #include "tamaracklatch/control/control_state.h"
 #include "tamaracklatch/daemon/daemons.h"
 #include "tamaracklatch/membership/lease_table.h"
+#include "tamaracklatch/membership/loss_judge.h"
 #include "transport/link_hub.h"
 
 namespace tamaracklatch {
@@ -90,6 +91,7 @@
     }
     frame_.Every(kQuorumInterval, [this] { HearQuorum(); });
     frame_.Every(kLeaseInterval, [this] { ReportLeases(); });
+    frame_.Every(kLeaseInterval, [this] { JudgeLosses(); });
     view_.Start();
     frame_.Run([this] { frame_.Stop(); });
     return 0;
@@ -165,27 +167,40 @@
   // At the leader: what changed goes into the log; the answer tells the relay
   // that it was received.
   void TakeReport(const std::string& peer, const membership_report& report) {
-    if (consensus_.node().role() != consensus_role::kLeader) return;
-    membership_batch batch;
-    for (const target_announcement& target : report.alive) {
-      const target_record* known = FindTarget(state_.view(), target.key);
-      if (known == nullptr) batch.joins.push_back(target);
-      if (target.draining &&
-          (known == nullptr || known->state == target_state::kServing)) {
-        batch.drains.push_back(target.key);
-      }
-    }
-    for (const target_key& key : report.silent) {
-      if (FindTarget(state_.view(), key) != nullptr)
-        batch.losses.push_back(key);
-    }
-    if (!batch.empty()) api_.ProposeMembership(batch);
-    const membership_answer answer{
-        report.number, consensus_.node().term().value, {}};
+    if (!IsLeader()) return;
+    membership_answer answer;
+    answer.number = report.number;
+    answer.term = consensus_.node().term().value;
+    answer.held_elsewhere =
+        judge_.OnReport(report, state_.view(), frame_.Now());
     if (peer.empty()) return leases_.OnReportAnswer(answer, frame_.Now());
     hub_.Send(peer, {}, frame_kind::kMembership, EncodeMembershipFrame(answer));
   }
 
+  bool IsLeader() const {
+    return consensus_.node().role() == consensus_role::kLeader;
+  }
+
+  void JudgeLosses() {
+    if (!IsLeader()) return judge_.Reset();
+    for (const loss_action& action :
+         judge_.OnTick(state_.view(), frame_.Now())) {
+      std::visit([this](const auto& each) { Do(each); }, action);
+    }
+  }
+
+  void Do(const propose_membership& action) {
+    api_.ProposeMembership(action.batch);
+  }
+
+  void Do(const doubt_losses& action) {
+    event what;
+    what.id = event_id::kLossDoubted;
+    what.peer = action.relay;
+    what.detail = fmt::format("{} targets of {}", action.targets, action.zone);
+    frame_.events().OnEvent(what);
+  }
+
   controld_settings settings_;
   process_frame frame_;
   link_hub hub_;
@@ -195,6 +210,7 @@
   consensus_agent consensus_;
   view_agent view_;
   lease_table leases_;
+  loss_judge judge_{loss_settings()};
 };
 
 }  // namespace
