--- a/tests/control/control_state_test.cc
+++ b/tests/control/control_state_test.cc
@@ -163,17 +163,16 @@
 
 // A command out of a small world, so that races and resends happen often.
 std::string RandomCommand() {
-  const auto number = [](int below) { return *rc::gen::inRange(0, below); };
+  const auto number = [](std::uint32_t below) {
+    return *rc::gen::inRange<std::uint32_t>(0, below);
+  };
   if (number(3) != 0) {
-    return Submission("service-" + std::to_string(number(3)),
-                      static_cast<std::uint64_t>(1 + number(6)),
-                      static_cast<std::uint32_t>(1 + number(4)),
-                      static_cast<std::size_t>(number(2)));
+    return Submission("service-" + std::to_string(number(3)), 1 + number(6),
+                      1 + number(4), number(2));
   }
   membership_batch batch;
-  for (int i = number(4); i > 0; --i) {
-    auto target = Announce(static_cast<std::uint32_t>(number(5)),
-                           static_cast<std::uint64_t>(1 + number(4)));
+  for (std::uint32_t i = number(4); i > 0; --i) {
+    auto target = Announce(number(5), 1 + number(4));
     target.key.service = "service-" + std::to_string(number(3));
     target.draining = number(4) == 0;
     batch.joins.push_back(target);
