Hold relays to random schedules; let a search for a parent wait its turn

Cause: the property over random schedules left a node behind for good: a search that waited longer than the largest age of news started anew before it asked. A node that restarted with control lost learned the revision from its peers but pulled it from nobody.

Change: a parent that has not answered is judged by its tries alone; a node without news pulls from the peer that confirmed a higher revision.

--- a/include/tamaracklatch/distribution/relay_node.h
+++ b/include/tamaracklatch/distribution/relay_node.h
@@ -156,6 +156,7 @@
   // Towards the parent.
   void SchedulePull(time_point at);
   void PullForNews(time_point now);
+  void SeekRevision(revision seen, const relay_contact* who, time_point now);
   void SendPull(time_point now);
   void OnParentAnswered(duration age, time_point now);
   void WatchParent(time_point now);
@@ -183,6 +184,7 @@
 
   std::optional<relay_contact> parent_;
   time_point parent_since_;
+  bool parent_answered_ = false;
   std::uint64_t parent_names_ = 0;  // sum of the names that it holds for us
   bool awaits_answer_ = false;
   time_point answer_due_;
--- a/include/tamaracklatch/distribution/start_rule.h
+++ b/include/tamaracklatch/distribution/start_rule.h
@@ -34,6 +34,9 @@
   // A node that has been heard of, and may be asked.
   void AddPeer(const relay_contact& peer);
 
+  // A peer that may be asked, or null.
+  const relay_contact* FindPeer(const std::string& name) const;
+
   // The revision from which on the node may serve, once it is known.
   std::optional<revision> required() const;
   bool by_quorum() const { return quorum_.has_value(); }
--- a/src/distribution/relay_node.cc
+++ b/src/distribution/relay_node.cc
@@ -112,13 +112,18 @@
                                                const relay_contact* who,
                                                time_point now) {
   if (who != nullptr) start_.AddPeer(*who);
-  if (seen <= known_ || settings_.is_source) return {};
+  SeekRevision(seen, who, now);
+  return TakeActions();
+}
+
+void relay_node::SeekRevision(revision seen, const relay_contact* who,
+                              time_point now) {
+  if (seen <= known_ || settings_.is_source) return;
   const bool has_news = Age(now) < settings_.max_age / 2;
   const bool may_switch = who != nullptr && who->where.port != 0 &&
                           (!parent_ || who->name != parent_->name);
   if (!has_news && may_switch) AttachTo(*who, now);
   PullForNews(now);
-  return TakeActions();
 }
 
 relay_node::actions relay_node::OnLinkDown(const std::string& peer,
@@ -375,8 +380,9 @@
 
 void relay_node::WatchParent(time_point now) {
   if (!parent_) return;
-  const bool parent_is_old =
-      Age(now) > settings_.max_age && now - parent_since_ > settings_.max_age;
+  // One that has not answered yet is judged by its tries alone.
+  const bool parent_is_old = parent_answered_ && Age(now) > settings_.max_age &&
+                             now - parent_since_ > settings_.max_age;
   if (!settings_.is_source && parent_is_old) {
     ChooseParent(now);
     return;
@@ -417,6 +423,7 @@
   }
   parent_ = parent;
   parent_since_ = now;
+  parent_answered_ = false;
   parent_names_ = 0;
   names_.Restart();
   awaits_answer_ = false;
@@ -427,6 +434,7 @@
 
 void relay_node::OnParentAnswered(duration age, time_point now) {
   awaits_answer_ = false;
+  parent_answered_ = true;
   tries_ = 0;
   failed_parents_ = 0;
   const time_point told = now - std::max(age, duration(0));
@@ -540,7 +548,7 @@
                         time_point now) {
   if (settings_.is_source || may_serve_) return;
   start_.OnAnswer(peer, message);
-  if (message.at > known_) PullForNews(now);
+  SeekRevision(message.at, start_.FindPeer(peer), now);
   CheckStart();
 }
 
--- a/src/distribution/start_rule.cc
+++ b/src/distribution/start_rule.cc
@@ -60,6 +60,13 @@
   peers_.push_back(peer);
 }
 
+const relay_contact* start_rule::FindPeer(const std::string& name) const {
+  const auto found = std::find_if(
+      peers_.begin(), peers_.end(),
+      [&](const relay_contact& peer) { return peer.name == name; });
+  return found == peers_.end() ? nullptr : &*found;
+}
+
 std::optional<revision> start_rule::required() const {
   if (quorum_) return quorum_;
   if (!asks_peers_ || 2 * peer_answers_.size() <= peers_.size())
--- a/tests/distribution/relay_node_test.cc
+++ b/tests/distribution/relay_node_test.cc
@@ -2,6 +2,8 @@
 // whatever is lost on the way, and none ever goes back.
 #include "tamaracklatch/distribution/relay_node.h"
 
+#include <algorithm>
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -88,6 +90,24 @@
     return true;
   }
 
+  // Each node's state, for a failing schedule.
+  std::string Describe() {
+    std::string text;
+    for (auto& [name, one] : net.all()) {
+      if (!one->node) continue;
+      const auto& parent = one->node->parent();
+      text += name + " at " + std::to_string(one->node->known().value) +
+              " of " + std::to_string(net.newest().value) + ", parent " +
+              (parent ? parent->name : "none") + ", age " +
+              std::to_string(one->node->Age(net.now()).count() / 1000) +
+              " ms, children";
+      for (const auto& [child, state] : one->node->children().all())
+        text += " " + child;
+      text += one->node->may_serve() ? "\n" : ", does not serve\n";
+    }
+    return text;
+  }
+
   test::virtual_network net;
   std::vector<std::string> nodes;
   cluster_view truth;
@@ -117,5 +137,215 @@
   }
 }
 
+// Watches every action of every node.
+class revision_watch {
+ public:
+  explicit revision_watch(distribution_fixture* cluster) : cluster_(cluster) {
+    cluster->net.on_action = [this](test::virtual_network::process& one,
+                                    const relay_action& action) {
+      if (!one.node || one.settings.is_source) return;
+      CheckNode(one, action);
+    };
+  }
+
+  // What a node that serves has shown its packets, over all its starts.
+  std::map<std::string, revision> served;
+  std::string fault;
+
+ private:
+  void CheckNode(const test::virtual_network::process& one,
+                 const relay_action& action) {
+    const std::string& name = one.settings.self.name;
+    const revision known = one.node->known();
+    const node_identity identity{name, one.settings.self.started};
+    if (known < applied_[identity]) fault = name + " fell in one start";
+    applied_[identity] = known;
+    if (known > cluster_->net.newest()) fault = name + " is ahead of the log";
+    if (std::holds_alternative<serving_allowed>(action) && known < served[name])
+      fault = name + " serves an older revision after a restart";
+    if (one.node->may_serve()) served[name] = std::max(served[name], known);
+  }
+
+  distribution_fixture* cluster_;
+  std::map<node_identity, revision> applied_;
+};
+
+// Acknowledgments claim no node that has not applied: the sums at the sources
+// hold only identities that did, each at its revision or below.
+void CheckAcknowledgments(distribution_fixture* cluster,
+                          const std::map<node_identity, revision>& applied) {
+  for (const char* name : {"control-0", "control-1", "control-2"}) {
+    const relay_node& source = *cluster->net.At(name).node;
+    for (const progress& entry : source.Progress()) {
+      const auto able = std::count_if(
+          applied.begin(), applied.end(),
+          [&](const auto& node) { return node.second >= entry.at; });
+      RC_ASSERT(entry.nodes <= static_cast<std::size_t>(able));
+    }
+  }
+}
+
+// One random schedule: losses, repeats, delays, restarts, cut-off relays and
+// control VMs; then quiet, after which every node has to be at the last one.
+void RunSchedule() {
+  test::network_settings network;
+  network.seed = *rc::gen::arbitrary<std::uint64_t>();
+  network.loss = *rc::gen::element(0.0, 0.02, 0.1, 0.3);
+  network.repeat = *rc::gen::element(0.0, 0.05);
+  network.late = *rc::gen::element(0.0, 0.05, 0.2);
+  distribution_fixture cluster(network);
+  revision_watch watch(&cluster);
+  std::set<std::string> cut;
+  cluster.net.is_cut = [&cut](const auto& from, const auto& to) {
+    return cut.count(from.settings.self.name) != 0 ||
+           cut.count(to.settings.self.name) != 0;
+  };
+  cluster.AddNodes(*rc::gen::inRange<std::uint32_t>(3, 14));
+  cluster.AddTargetDaemon("target-a", "service-1");
+  cluster.net.RunFor(seconds(2));
+
+  const int steps = *rc::gen::inRange(5, 25);
+  for (int i = 0; i < steps; ++i) {
+    const std::string& node =
+        cluster.nodes[*rc::gen::inRange<std::size_t>(0, cluster.nodes.size())];
+    switch (*rc::gen::inRange(0, 6)) {
+      case 0:
+      case 1:
+        cluster.Change();
+        break;
+      case 2:
+        for (int j = 0; j < 30; ++j) cluster.Change();
+        break;
+      case 3:
+        cluster.net.Stop(node);
+        cluster.net.Start(node);
+        break;
+      case 4:
+        cut.insert(node);
+        break;
+      case 5:
+        cut.clear();
+        break;
+    }
+    cluster.net.RunFor(milliseconds(*rc::gen::element(10, 300, 3000, 15000)));
+    RC_ASSERT(watch.fault.empty());
+  }
+  cut.clear();
+  // At 30% loss a node may try many parents; the others settle in seconds.
+  cluster.net.RunFor(seconds(network.loss > 0.2 ? 240 : 120));
+  RC_ASSERT(watch.fault.empty());
+  RC_LOG() << cluster.Describe();
+  RC_ASSERT(cluster.AllAtNewest());
+  for (const std::string& name : cluster.nodes) {
+    const relay_node& node = *cluster.net.At(name).node;
+    RC_ASSERT(node.may_serve());
+    RC_ASSERT(node.view().targets.size() == cluster.truth.targets.size());
+  }
+  const cluster_view& filtered = cluster.net.At("target-a").node->view();
+  RC_ASSERT(filtered.services.size() <= 1U);
+}
+
+Test(distribution, any_schedule_ends_at_the_last_revision) {
+  test::CheckProperty("any schedule", RunSchedule);
+}
+
+Test(distribution, acknowledgments_claim_no_node_too_many) {
+  test::CheckProperty("acknowledgments", []() {
+    test::network_settings network;
+    network.seed = *rc::gen::arbitrary<std::uint64_t>();
+    network.loss = *rc::gen::element(0.0, 0.1);
+    network.late = *rc::gen::element(0.0, 0.2);
+    distribution_fixture cluster(network);
+    cluster.AddNodes(12);
+    cluster.net.RunFor(seconds(2));
+    for (int i = 0; i < 40; ++i) {
+      cluster.Change();
+      if (*rc::gen::inRange(0, 8) == 0) {
+        const std::string& node =
+            cluster
+                .nodes[*rc::gen::inRange<std::size_t>(0, cluster.nodes.size())];
+        cluster.net.Stop(node);
+        cluster.net.Start(node);
+      }
+      cluster.net.RunFor(milliseconds(*rc::gen::element(5, 40, 200)));
+      std::map<node_identity, revision> applied;
+      for (const std::string& name : cluster.nodes) {
+        const auto& one = cluster.net.At(name);
+        applied[one.settings.self] = one.node->known();
+      }
+      // A node that restarted may still be counted as its earlier start.
+      std::uint32_t starts = 0;
+      for (const std::string& name : cluster.nodes)
+        starts += static_cast<std::uint32_t>(cluster.net.At(name).starts - 1);
+      if (starts == 0) CheckAcknowledgments(&cluster, applied);
+    }
+    cluster.net.RunFor(seconds(90));
+    // In the end the sums tell exactly who applied the last one.
+    std::vector<progress> sum;
+    std::vector<node_identity> names;
+    for (const char* name : {"control-0", "control-1", "control-2"}) {
+      const relay_node& source = *cluster.net.At(name).node;
+      AddProgress(source.Progress(), &sum);
+      for (const node_identity& node : source.Names()) names.push_back(node);
+    }
+    const progress last = AppliedAtLeast(sum, cluster.net.newest());
+    RC_ASSERT(last.nodes == cluster.nodes.size());
+    RC_ASSERT(last.identities == SumOfNames(names));
+    RC_ASSERT(names.size() == cluster.nodes.size());
+  });
+}
+
+Test(distribution, a_node_far_behind_gets_a_snapshot_in_parts) {
+  test::network_settings network;
+  network.loss = 0.1;
+  distribution_fixture cluster(network);
+  for (int i = 0; i < 3; ++i) {
+    auto& source = cluster.net.At("control-" + std::to_string(i));
+    source.settings.log_bytes = 4096;
+    source.settings.part_bytes = 512;
+    cluster.net.Start(source.settings.self.name);
+  }
+  for (int i = 0; i < 200; ++i) cluster.Change();
+  cluster.AddNodes(6);
+  for (int i = 0; i < 40; ++i) {
+    cluster.Change();
+    cluster.net.RunFor(milliseconds(100));
+  }
+  cluster.net.RunFor(seconds(60));
+  cr_assert(cluster.AllAtNewest());
+  for (const std::string& name : cluster.nodes) {
+    const relay_node& node = *cluster.net.At(name).node;
+    cr_expect(node.view().targets.size() == cluster.truth.targets.size());
+  }
+}
+
+Test(distribution, with_control_lost_a_majority_of_peers_confirms) {
+  distribution_fixture cluster({});
+  cluster.AddNodes(6);
+  cluster.Change();
+  cluster.net.RunFor(seconds(5));
+  for (int i = 0; i < 3; ++i) cluster.net.Stop("control-" + std::to_string(i));
+  auto& restarted = cluster.net.At("node-0");
+  for (std::uint32_t i = 1; i < 6; ++i) {
+    const auto& peer = cluster.net.At("node-" + std::to_string(i)).settings;
+    restarted.settings.peers.push_back(
+        {peer.self.name, peer.zone, peer.where, 0});
+  }
+  cluster.net.Start("node-0");
+  const relay_contact who = restarted.settings.peers[2];
+  cluster.net.RunFor(seconds(2));
+  cr_expect(!restarted.node->may_serve());
+  cluster.net.RunFor(seconds(30));
+  cr_expect(restarted.node->may_serve());
+  cr_expect(restarted.node->known().value == 1);
+}
+
+Test(distribution, arbitrary_bytes_are_no_message) {
+  test::CheckProperty("arbitrary bytes", [](const std::string& bytes) {
+    const auto message = DecodeRelayMessage(bytes);
+    if (message) RC_ASSERT(DecodeRelayMessage(Encode(*message)).has_value());
+  });
+}
+
 }  // namespace
 }  // namespace tamaracklatch
