--- a/bench/sizes_bench.cc
+++ b/bench/sizes_bench.cc
@@ -2,6 +2,7 @@
 // figures that no machine's speed changes.
 #include <malloc.h>
 
+#include <cstdlib>
 #include <functional>
 #include <string>
 #include <vector>
@@ -12,7 +13,10 @@
 #include "tamaracklatch/control/view_codec.h"
 #include "tamaracklatch/distribution/relay_messages.h"
 #include "tamaracklatch/flow/envelope.h"
+#include "tamaracklatch/flow/flow_owner.h"
+#include "tamaracklatch/flow/flow_router.h"
 #include "tamaracklatch/membership/announcement.h"
+#include "tamaracklatch/placement/placement_table.h"
 
 namespace tamaracklatch::bench {
 namespace {
@@ -20,6 +24,8 @@
 constexpr const char* kSection = "sizes";
 constexpr std::uint32_t kTargetsPerService = 20;
 const std::vector<std::uint32_t> kSizes{50, 100, 200, 400};
+// Powers of two: tables double.
+const std::vector<std::uint32_t> kFlowSizes{16384, 32768, 65536, 131072};
 
 std::string Numbered(const char* text, std::uint32_t number) {
   return text + std::to_string(number);
@@ -105,6 +111,88 @@
     view->Apply({{1000 + i}, {target_put{Record(i)}}});
 }
 
+// The placements of a balancer, each asked for a bucket.
+void Place(placement_table* table, const cluster_view& view) {
+  table->Reset(view, time_point());
+  for (const auto& entry : table->services())
+    entry.second.current->CandidatesOf(0);
+}
+
+void PlaceServices(placement_table* table, std::uint32_t count) {
+  cluster_view view;
+  AddServices(&view, count);
+  Place(table, view);
+}
+
+void PlaceTargets(placement_table* table, std::uint32_t count) {
+  cluster_view view;
+  AddTargets(&view, count);
+  Place(table, view);
+}
+
+flow_key FlowKey(std::uint32_t number) {
+  return {MakeV4(0x0c000000U + number), MakeV4(0x0a000001U), 4000, 5000,
+          ip_protocol::kUdp};
+}
+
+cluster_view OneTarget() {
+  cluster_view view;
+  view.Apply({{1}, {service_put{{{1}, Document(1)}}}});
+  target_record target = Record(0);
+  target.service = {1};
+  target.id = {0, 1};
+  view.Apply({{2}, {target_put{target}}});
+  return view;
+}
+
+double CacheBytes(std::uint32_t flows) {
+  flow_router router({});
+  router.Reset(OneTarget(), time_point());
+  envelope hint;
+  hint.kind = envelope_kind::kHint;
+  hint.service = {1};
+  hint.target = {0, 1};
+  for (std::uint32_t i = 0; i < flows; ++i) {
+    hint.key = FlowKey(i);
+    router.OnEnvelope(hint, time_point());
+  }
+  return static_cast<double>(router.CacheBytes());
+}
+
+double OwnerBytes(std::uint32_t flows) {
+  const target_record target = Record(0);
+  flow_owner_settings settings;
+  settings.service = {1};
+  settings.self = {0, 1};
+  settings.started = target.started;
+  settings.packets = target.packets;
+  flow_owner owner(settings, time_point());
+  std::vector<owner_action> actions;
+  owner.Reset(OneTarget(), time_point(), &actions);
+  envelope what;
+  what.opens = flow_opening::kYes;
+  what.service = {1};
+  what.target = settings.self;
+  what.started = settings.started;
+  what.at = {2};
+  what.Add({settings.self, settings.started, settings.packets});
+  for (std::uint32_t i = 0; i < flows; ++i) {
+    what.key = FlowKey(i);
+    owner.OnEnvelope(what, time_point(), &actions);
+    actions.clear();
+  }
+  if (owner.flow_count() != flows) std::abort();
+  return static_cast<double>(owner.MemoryBytes());
+}
+
+double FlowSlope(double (*bytes)(std::uint32_t)) {
+  std::vector<sample> samples;
+  samples.reserve(kFlowSizes.size());
+  for (const std::uint32_t flows : kFlowSizes)
+    samples.push_back({static_cast<double>(flows), bytes(flows)});
+  return Slope(samples);
+}
+
 void Submit(control_state* state, std::uint32_t count) {
   for (std::uint32_t i = 1; i <= count; ++i) {
     const submit_document body{CanonicalText(Document(i)), "team"};
@@ -196,6 +284,13 @@
       HeapSlope<cluster_view>(&AddServices), "bytes/service");
   add("slope: heap of the view, by targets",
       HeapSlope<cluster_view>(&AddTargets), "bytes/target");
+  add("slope: heap of the placements, by services",
+      HeapSlope<placement_table>(&PlaceServices), "bytes/service");
+  add("slope: heap of the placements, by targets",
+      HeapSlope<placement_table>(&PlaceTargets), "bytes/target");
+  add("slope: flow cache of a balancer", FlowSlope(&CacheBytes), "bytes/flow");
+  add("slope: flow table of a target daemon", FlowSlope(&OwnerBytes),
+      "bytes/flow");
   add("slope: heap of the control state, by services",
       HeapSlope<control_state>(&Submit), "bytes/service");
   add("slope: heap of the control state, by targets",
