Tell the events of targets that join, drain and leave

Cause: the time line of the demo had no line of a drain, so that a flow through a drain could not be followed.

Change: a watch on the control VMs that tells events 2300 to 2302 from the accepted changes; the flow filter takes in the membership of the targets that the flow was at.

Conclusion: one flow can be followed through a drain, in order.

--- a/include/tamaracklatch/timeline/timeline_merge.h
+++ b/include/tamaracklatch/timeline/timeline_merge.h
@@ -16,7 +16,7 @@
 // set must match.
 struct timeline_filter {
   std::string service;
-  std::optional<std::uint64_t> flow;
+  std::optional<std::uint64_t> flow;  // takes in the drain of its target
   std::string request;
   std::string submission;  // "SERVICE@VERSION"; takes in how it spread
   std::optional<wall_time> since;
--- a/src/daemon/control_api.cc
+++ b/src/daemon/control_api.cc
@@ -180,6 +180,8 @@
   const auto found = applied_.find(outcome.tag);
   if (found != applied_.end()) found->second = outcome;
   if (!outcome.service.empty()) TellSubmission(outcome);
+  for (const event& what : watch_.OnChanges(changes))
+    frame_->events().OnEvent(what);
   if (!changes.changes.empty() && view_ != nullptr)
     view_->Perform(view_->node().Publish(changes, frame_->Now()));
 }
--- a/src/daemon/control_api.h
+++ b/src/daemon/control_api.h
@@ -8,6 +8,7 @@
 #include "daemon/http_server.h"
 #include "daemon/view_agent.h"
 #include "tamaracklatch/control/control_state.h"
+#include "tamaracklatch/timeline/membership_watch.h"
 
 namespace tamaracklatch {
 
@@ -26,6 +27,9 @@
   void OnApplied(const command_outcome& outcome,
                  const revision_changes& changes) override;
 
+  // The state was restored from a snapshot.
+  void OnRestored() { watch_.Reset(state_->view()); }
+
   // Proposes a change of membership.
   void ProposeMembership(const membership_batch& batch);
 
@@ -52,6 +56,7 @@
   view_agent* view_ = nullptr;
   std::map<std::uint64_t, command_outcome>
       applied_;  // outcomes of own entries, until they are answered
+  membership_watch watch_;
 };
 
 }  // namespace tamaracklatch
--- a/src/daemon/controld.cc
+++ b/src/daemon/controld.cc
@@ -109,6 +109,7 @@
   }
 
   void OnRestored() {
+    api_.OnRestored();
     view_.Perform(view_.node().Reset(state_.view(), frame_.Now()));
   }
 
--- a/src/timeline/timeline_merge.cc
+++ b/src/timeline/timeline_merge.cc
@@ -16,6 +16,30 @@
          what.id == event_id::kInForceEverywhere;
 }
 
+// Events of a target's membership; their peer is its VM.
+bool TellsMembership(const event& what) {
+  return what.id == event_id::kTargetJoined ||
+         what.id == event_id::kTargetDraining ||
+         what.id == event_id::kTargetLeft;
+}
+
+// Keeps the entries of a flow and, from its first on, those of the membership
+// of the targets that it was at.
+std::vector<timeline_entry> KeepFlow(const std::vector<timeline_entry>& entries,
+                                     std::uint64_t flow) {
+  std::vector<timeline_entry> kept;
+  std::set<vm_name> vms;
+  for (const timeline_entry& entry : entries) {
+    const event& what = entry.what;
+    const bool is_own = what.flow == flow;
+    if (is_own) vms.insert(entry.source.vm);
+    const bool concerns =
+        TellsMembership(what) && vms.find(what.peer) != vms.end();
+    if (is_own || concerns) kept.push_back(entry);
+  }
+  return kept;
+}
+
 // Keeps the entries of a submission and, of each process, the first one of each
 // kind that tells of its revision or a later one.
 std::vector<timeline_entry> KeepSubmission(
@@ -67,7 +91,8 @@
   const event& what = entry.what;
   if (filter_.since && entry.stamp.Wall() < *filter_.since) return false;
   if (!filter_.service.empty() && what.service != filter_.service) return false;
-  if (filter_.flow && what.flow != filter_.flow) return false;
+  if (filter_.flow && what.flow != filter_.flow && !TellsMembership(what))
+    return false;
   if (!filter_.request.empty() && what.request != filter_.request) return false;
   if (!filter_.submission.empty())
     return what.submission == filter_.submission || TellsSpread(what);
@@ -89,8 +114,10 @@
 
 std::vector<timeline_entry> timeline_merge::Finish() {
   std::stable_sort(entries_.begin(), entries_.end(), &ComesBefore);
-  if (filter_.submission.empty()) return std::move(entries_);
-  return KeepSubmission(entries_, filter_.submission);
+  if (filter_.flow) entries_ = KeepFlow(entries_, *filter_.flow);
+  if (!filter_.submission.empty())
+    entries_ = KeepSubmission(entries_, filter_.submission);
+  return std::move(entries_);
 }
 
 std::string FormatEntry(const timeline_entry& entry) {
--- a/tests/timeline/timeline_test.cc
+++ b/tests/timeline/timeline_test.cc
@@ -113,7 +113,10 @@
     }
     event draining = What(event_id::kTargetDraining, 7);
     draining.service = "coordination";
-    old_target.Record(milliseconds(105), draining);
+    draining.peer = "vm-3";
+    control.Record(milliseconds(105), draining);
+    draining.peer = "vm-9";
+    control.Record(milliseconds(105), draining);
     control.Record(milliseconds(108), What(event_id::kInForceEverywhere, 7));
     balancer.Record(milliseconds(200), What(event_id::kRevisionApplied, 8));
     event closed = opened;
@@ -169,11 +172,12 @@
   both.service = "coordination";
   both.flow = 0x1234abcd;
   const std::vector<filter_row> rows{
-      {"none", {}, 11},
-      {"service", {"coordination", {}, "", "", {}}, 6},
+      {"none", {}, 12},
+      {"service", {"coordination", {}, "", "", {}}, 7},
       {"other service", {"compost", {}, "", "", {}}, 0},
-      {"flow", {"", 0x1234abcd, "", "", {}}, 3},
-      {"service and flow", both, 3},
+      {"flow and its target's drain", {"", 0x1234abcd, "", "", {}}, 4},
+      {"another flow", {"", 0x1234, "", "", {}}, 0},
+      {"service and flow", both, 4},
       {"request", {"", {}, "k-1", "", {}}, 0},
       {"since", {"", {}, "", "", kStart + std::chrono::hours(1)}, 0},
   };
@@ -240,7 +244,7 @@
   timeline_merge merge({});
   merge.Read(stream);
   cr_expect(merge.malformed() == 1);
-  cr_expect(merge.Finish().size() == 3);
+  cr_expect(merge.Finish().size() == 5);
 }
 
 struct time_row {
