--- a/programs/tamaracklatch_controld.cc
+++ b/programs/tamaracklatch_controld.cc
@@ -11,8 +11,24 @@
 DEFINE_string(settings, "", "File with the settings: JSON with comments.");
 // NOLINTEND(readability-identifier-naming)
 
+namespace {
+
+constexpr const char* kUsage = R"(tamaracklatch-controld --settings=FILE
+
+One voter of the replicated log of service documents and membership, on a VM
+with a disk. Serves operators and /metrics over HTTP.
+
+Settings: name, vm, zone, region, link_key or link_key_file, timeline_file,
+timeline_file_bytes, log_level, data_folder, listen_links, listen_http, voters,
+operators.
+docs/OPERATIONS.md explains them, `tamaracklatch check FILE` checks them, and
+examples/ has a file of each user.
+)";
+
+}  // namespace
+
 int main(int argc, char** argv) {
-  gflags::SetUsageMessage("tamaracklatch-controld --settings=FILE");
+  gflags::SetUsageMessage(kUsage);
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   std::vector<tamaracklatch::failure> failures;
   const auto settings =
