Answer submissions through the gate, forward them to the leader, tell what is in force

Cause: the thin API answered from a table of its own, counted nodes by the names it had just heard, and left followers to refuse.

--- a/src/daemon/balancer_relay.cc
+++ b/src/daemon/balancer_relay.cc
@@ -37,11 +37,14 @@
   void Start() {
     const auto routed = owner_->route(key_);
     if (!routed) return Refuse(result_code::kServiceUnknown);
+    service_ = routed->what.service;
     std::string encoded;
     EncodeEnvelope(routed->what, owner_->key, &encoded);
     Ask(routed->relay, std::move(encoded));
   }
 
+  service_id service() const { return service_; }
+
   // Whether a direction had bytes outstanding without progress for `limit`.
   bool IsStuck(std::chrono::seconds limit) {
     if (!pair_) return false;
@@ -134,6 +137,7 @@
 
   std::shared_ptr<shared> owner_;
   flow_key key_;
+  service_id service_;
   asio::ip::tcp::socket caller_;
   asio::ip::tcp::socket target_;
   asio::steady_timer timer_;
@@ -160,10 +164,10 @@
   added->Start();
 }
 
-void balancer_relay::CloseStuck(std::chrono::seconds limit) {
+void balancer_relay::CloseStuck(const stuck_limits& limit_of) {
   const auto all = shared_->open;
   for (const auto& each : all) {
-    if (each->IsStuck(limit)) each->Reset();
+    if (each->IsStuck(limit_of(each->service()))) each->Reset();
   }
 }
 
--- a/src/daemon/balancer_relay.h
+++ b/src/daemon/balancer_relay.h
@@ -19,6 +19,9 @@
 using relay_router =
     std::function<std::optional<routed_packet>(const flow_key& key)>;
 
+// The stuck_limit of a service's document.
+using stuck_limits = std::function<std::chrono::seconds(service_id)>;
+
 class balancer_relay {
  public:
   balancer_relay(process_frame* frame, const envelope_key& key,
@@ -28,9 +31,9 @@
   // Takes a caller's connection.
   void Accept(const flow_key& key, asio::ip::tcp::socket caller);
 
-  // Closes the connections that made no progress for their limit; call about
-  // every second.
-  void CloseStuck(std::chrono::seconds limit);
+  // Closes the connections that made no progress for the limit of their
+  // service; call about every second.
+  void CloseStuck(const stuck_limits& limit_of);
 
   // Connections open or being opened.
   std::size_t count() const;
--- a/src/daemon/balancerd.cc
+++ b/src/daemon/balancerd.cc
@@ -167,18 +167,16 @@
                           std::string(ToString(code)));
   }
 
-  // The shortest limit of any service's document decides: the relay is closed
-  // at the target daemon by its own limit.
-  std::chrono::seconds StuckLimit() const {
-    std::chrono::seconds limit = flow_limits().stuck_limit;
-    for (const auto& [id, service] : view_.node().view().services) {
-      limit = std::max(limit, service.document.flows.stuck_limit);
-    }
-    return limit;
+  std::chrono::seconds StuckLimitOf(service_id service) const {
+    const auto& services = view_.node().view().services;
+    const auto found = services.find(service);
+    return found == services.end() ? flow_limits().stuck_limit
+                                   : found->second.document.flows.stuck_limit;
   }
 
   void Check() {
-    relay_.CloseStuck(StuckLimit());
+    relay_.CloseStuck(
+        [this](service_id service) { return StuckLimitOf(service); });
     frame_.counts().Set("tamaracklatch_relayed_connections",
                         "Connections that are relayed now.",
                         static_cast<double>(relay_.count()));
--- a/src/daemon/control_api.cc
+++ b/src/daemon/control_api.cc
@@ -2,8 +2,8 @@
 #include "daemon/control_api.h"
 
 #include <fmt/format.h>
-#include <sodium.h>
 
+#include <cstdlib>
 #include <nlohmann/json.hpp>
 
 #include "tamaracklatch/document/service_document.h"
@@ -12,12 +12,8 @@
 namespace {
 
 constexpr unsigned kOk = 200;
-constexpr unsigned kBadRequest = 400;
 constexpr unsigned kForbidden = 403;
 constexpr unsigned kNotFound = 404;
-constexpr unsigned kConflict = 409;
-constexpr unsigned kMisdirected = 421;
-constexpr unsigned kUnavailable = 503;
 constexpr std::string_view kServicesPath = "/v1/services/";
 
 nlohmann::json ResultJson(result_code code) {
@@ -37,45 +33,23 @@
   return JsonAnswer(status, body);
 }
 
-http_response FaultsAnswer(const std::vector<failure>& faults) {
-  nlohmann::json body = ResultJson(faults.front().code);
-  for (const failure& fault : faults) {
-    body["faults"].push_back({{"code", static_cast<unsigned>(fault.code)},
-                              {"name", std::string(ToString(fault.code))},
-                              {"reason", fault.reason}});
-  }
-  return JsonAnswer(kBadRequest, body);
-}
-
 unsigned StatusOf(result_code code) {
-  switch (code) {
-    case result_code::kOk:
-      return kOk;
-    case result_code::kVersionConflict:
-    case result_code::kVersionStale:
-    case result_code::kVersionGap:
-    case result_code::kAddressTaken:
-      return kConflict;
-    case result_code::kNotLeader:
-      return kMisdirected;
-    default:
-      return kUnavailable;
-  }
+  return static_cast<unsigned>(submission_gate::HttpStatus(code));
 }
 
-http_response SubmissionAnswer(const command_outcome& outcome) {
-  nlohmann::json body = ResultJson(outcome.code);
-  body["service"] = outcome.service;
-  body["version"] = outcome.version;
-  if (outcome.code == result_code::kOk)
-    body["revision"] = outcome.accepted.value;
-  if (outcome.code != result_code::kOk)
-    body["newest_version"] = outcome.newest_version;
-  if (outcome.code == result_code::kVersionConflict) {
-    body["winner_hash"] = fmt::format("{:016x}", outcome.winner_hash);
+http_response SubmissionAnswer(const submission_answer& answer) {
+  nlohmann::json body = ResultJson(answer.code);
+  if (!answer.service.empty()) body["service"] = answer.service;
+  if (answer.version != 0) body["version"] = answer.version;
+  if (answer.code == result_code::kOk) body["revision"] = answer.accepted.value;
+  if (answer.code == result_code::kVersionConflict)
+    body["winner_hash"] = fmt::format("{:016x}", answer.winner_hash);
+  for (const failure& fault : answer.failures) {
+    body["faults"].push_back({{"code", static_cast<unsigned>(fault.code)},
+                              {"name", std::string(ToString(fault.code))},
+                              {"reason", fault.reason}});
   }
-  if (!outcome.detail.empty()) body["detail"] = outcome.detail;
-  return JsonAnswer(StatusOf(outcome.code), body);
+  return JsonAnswer(StatusOf(answer.code), body);
 }
 
 std::string QueryValue(const std::string& query, const std::string& name) {
@@ -90,99 +64,164 @@
   return "";
 }
 
+std::string BearerToken(const http_request& request) {
+  const std::string prefix = "Bearer ";
+  const std::string field = request.Field("Authorization");
+  return field.rfind(prefix, 0) == 0 ? field.substr(prefix.size()) : "";
+}
+
+std::vector<access_token> Tokens(const controld_settings& settings) {
+  std::vector<access_token> tokens;
+  for (const operator_settings& each : settings.operators) {
+    tokens.push_back({fmt::format("operator-{}", tokens.size() + 1), each.token,
+                      each.services});
+  }
+  return tokens;
+}
+
+nlohmann::json InForceJson(const in_force_status& status, time_point now) {
+  nlohmann::json body{
+      {"in_force_nodes", status.applied},
+      {"known_nodes", status.nodes},
+      {"not_heard_of", status.not_heard},
+      {"in_force_everywhere", status.everywhere_since.has_value()}};
+  if (status.everywhere_since) {
+    const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(
+        now - *status.everywhere_since);
+    body["in_force_everywhere_for_milliseconds"] = since.count();
+  }
+  return body;
+}
+
 }  // namespace
 
-control_api::control_api(process_frame* frame,
+control_api::control_api(process_frame* frame, link_hub* hub,
                          const controld_settings& settings,
                          control_state* state)
-    : frame_(frame), settings_(settings), state_(state) {}
+    : frame_(frame),
+      settings_(settings),
+      state_(state),
+      tokens_(Tokens(settings)),
+      gate_({}, &tokens_, frame->random()()),
+      in_force_({}),
+      forward_(frame, hub,
+               [this](const http_request& request, const http_reply& reply) {
+                 HandleAtLeader(request, reply);
+               }) {}
 
 void control_api::SetAgents(consensus_agent* consensus, view_agent* view) {
   consensus_ = consensus;
   view_ = view;
 }
 
+bool control_api::IsLeader() const {
+  return consensus_->node().role() == consensus_role::kLeader;
+}
+
+std::optional<relay_contact> control_api::LeaderContact() const {
+  const auto& leader = consensus_->node().leader();
+  if (!leader || leader->name == settings_.process.name) return std::nullopt;
+  for (const voter_settings& voter : settings_.voters) {
+    if (voter.name == leader->name)
+      return relay_contact{voter.name, {}, voter.links, 0};
+  }
+  return std::nullopt;
+}
+
 void control_api::Handle(const http_request& request, const http_reply& reply) {
-  if (request.path == "/v1/status" && request.method == "GET")
-    return ShowStatus(reply);
+  // Each VM answers for itself who votes; the rest is the leader's to know.
   if (request.path == "/v1/voters" && request.method == "GET")
     return ShowVoters(reply);
+  if (IsLeader()) return HandleAtLeader(request, reply);
+  const auto leader = LeaderContact();
+  if (leader) return forward_.Send(*leader, request, reply);
+  reply(ErrorAnswer(StatusOf(result_code::kNotLeader), result_code::kNotLeader,
+                    "no leader is known; ask again"));
+}
+
+void control_api::HandleAtLeader(const http_request& request,
+                                 const http_reply& reply) {
+  if (!IsLeader()) {
+    return reply(ErrorAnswer(StatusOf(result_code::kNotLeader),
+                             result_code::kNotLeader, "this VM leads no more"));
+  }
+  if (request.path == "/v1/status" && request.method == "GET")
+    return ShowStatus(reply);
+  if (request.path == "/v1/voters" && request.method == "POST")
+    return ChangeVoters(request, reply);
   if (request.path.rfind(kServicesPath, 0) == 0) {
     const std::string rest = request.path.substr(kServicesPath.size());
     const std::size_t slash = rest.find('/');
-    const std::string service = rest.substr(0, slash);
     const std::string verb =
         slash == std::string::npos ? "" : rest.substr(slash + 1);
-    if (verb.empty() && request.method == "PUT")
-      return Submit(service, request, reply);
-    if (verb.empty() && request.method == "GET")
-      return ShowService(service, request, reply);
-    if (verb == "history" && request.method == "GET")
-      return ShowHistory(service, reply);
-    if (verb == "drain" && request.method == "POST")
-      return Drain(service, request, reply);
+    return HandleService(rest.substr(0, slash), verb, request, reply);
   }
   reply(ErrorAnswer(
       kNotFound, result_code::kUsage,
       request.method + " " + request.path + " is not part of the API"));
 }
 
-bool control_api::MayChange(const http_request& request,
-                            const std::string& service) const {
-  const std::string expected_prefix = "Bearer ";
-  const std::string field = request.Field("Authorization");
-  if (field.rfind(expected_prefix, 0) != 0) return false;
-  const std::string token = field.substr(expected_prefix.size());
-  bool allowed = false;
-  for (const operator_settings& each : settings_.operators) {
-    const bool same =
-        token.size() == each.token.size() &&
-        sodium_memcmp(token.data(), each.token.data(), token.size()) == 0;
-    if (same && each.MayChange(service)) allowed = true;
-  }
-  return allowed;
+void control_api::HandleService(const std::string& service,
+                                const std::string& verb,
+                                const http_request& request,
+                                const http_reply& reply) {
+  if (verb.empty() && request.method == "PUT")
+    return Submit(service, request, reply);
+  if (verb.empty() && request.method == "GET")
+    return ShowService(service, request, reply);
+  if (verb == "history" && request.method == "GET")
+    return ShowHistory(service, reply);
+  if (verb == "drain" && request.method == "POST")
+    return Drain(service, request, reply);
+  reply(ErrorAnswer(
+      kNotFound, result_code::kUsage,
+      request.method + " " + request.path + " is not part of the API"));
 }
 
 void control_api::Submit(const std::string& service,
                          const http_request& request, const http_reply& reply) {
-  if (!MayChange(request, service)) {
-    return reply(ErrorAnswer(
-        kForbidden, result_code::kUnauthorized,
-        fmt::format("the bearer token does not name the service \"{}\"",
-                    service)));
-  }
-  std::vector<failure> faults;
-  const auto document = ParseDocument(request.body, &faults);
-  if (!document) return reply(FaultsAnswer(faults));
-  if (document->service != service) {
-    return reply(
-        ErrorAnswer(kBadRequest, result_code::kUsage,
-                    fmt::format("the document is of \"{}\", the path of \"{}\"",
-                                document->service, service)));
+  const std::uint64_t number = next_request_++;
+  replies_[number] = reply;
+  Perform(gate_.Submit(number, service, request.body, BearerToken(request),
+                       frame_->Now()));
+}
+
+void control_api::Perform(const submission_gate::actions& actions) {
+  for (const submission_action& action : actions) {
+    std::visit([this](const auto& each) { Do(each); }, action);
   }
-  control_command command;
-  command.tag = frame_->random()();
-  command.body = submit_document{CanonicalText(*document), "operator"};
-  const std::uint64_t tag = command.tag;
-  applied_[tag].code = result_code::kOutcomeUnknown;
+}
+
+void control_api::Do(const submission_answer& action) {
+  const auto found = replies_.find(action.request);
+  if (found == replies_.end()) return;
+  const http_reply reply = std::move(found->second);
+  replies_.erase(found);
+  reply(SubmissionAnswer(action));
+}
+
+// An applied entry answers by OnApplied. An unknown outcome waits for the
+// gate's time-out: the entry may still come.
+void control_api::Do(const propose_command& action) {
   consensus_->Propose(
-      Encode(command), [this, reply, tag](result_code code, revision) {
-        const command_outcome outcome = applied_[tag];
-        applied_.erase(tag);
-        if (code == result_code::kOk) return reply(SubmissionAnswer(outcome));
-        reply(ErrorAnswer(StatusOf(code), code,
-                          "sending the same document again is safe"));
+      action.command, [this, tag = action.tag](result_code code, revision) {
+        if (code == result_code::kOk || code == result_code::kOutcomeUnknown)
+          return;
+        Perform(gate_.OnProposalRefused(
+            tag,
+            {code, "the log did not take it; sending the same again is safe"}));
       });
 }
 
 void control_api::OnApplied(const command_outcome& outcome,
                             const revision_changes& changes) {
-  const auto found = applied_.find(outcome.tag);
-  if (found != applied_.end()) found->second = outcome;
+  if (outcome.code == result_code::kOk && !outcome.service.empty())
+    in_force_.OnAccepted(outcome.accepted);
   if (!outcome.service.empty()) TellSubmission(outcome);
+  Perform(gate_.OnApplied(outcome));
   for (const event& what : watch_.OnChanges(changes))
     frame_->events().OnEvent(what);
-  if (!changes.changes.empty() && view_ != nullptr)
+  if (!changes.changes.empty())
     view_->Perform(view_->node().Publish(changes, frame_->Now()));
 }
 
@@ -198,6 +237,28 @@
   frame_->events().OnEvent(what);
 }
 
+void control_api::Tick() {
+  forward_.Expire();
+  Perform(gate_.OnTick(frame_->Now()));
+  const bool leads = IsLeader();
+  if (led_ && !leads) Perform(gate_.OnLeadershipLost());
+  led_ = leads;
+  // Only the leader's sum covers all nodes.
+  if (!leads) return;
+  const relay_node& node = view_->node();
+  for (const revision at : in_force_.Update(node.Progress(), node.Names(),
+                                            node.Left(), frame_->Now()))
+    TellInForce(at);
+}
+
+void control_api::TellInForce(revision at) {
+  event what;
+  what.id = event_id::kInForceEverywhere;
+  what.at = at;
+  what.detail = fmt::format("{} nodes", in_force_.Status(at).nodes);
+  frame_->events().OnEvent(what);
+}
+
 void control_api::ProposeMembership(const membership_batch& batch) {
   control_command command;
   command.tag = frame_->random()();
@@ -207,11 +268,10 @@
 
 void control_api::Drain(const std::string& service, const http_request& request,
                         const http_reply& reply) {
-  if (!MayChange(request, service)) {
-    return reply(ErrorAnswer(
-        kForbidden, result_code::kUnauthorized,
-        fmt::format("the bearer token does not name the service \"{}\"",
-                    service)));
+  if (tokens_.Holder(BearerToken(request), service).empty()) {
+    return reply(
+        ErrorAnswer(kForbidden, result_code::kUnauthorized,
+                    fmt::format("the token does not name \"{}\"", service)));
   }
   const std::string vm = QueryValue(request.query, "vm");
   const service_record* record = state_->view().FindService(service);
@@ -240,14 +300,30 @@
   });
 }
 
-void control_api::AtLeader(const http_reply& reply,
-                           std::function<void()> show) {
-  if (consensus_->node().role() != consensus_role::kLeader) {
-    const auto& leader = consensus_->node().leader();
-    return reply(
-        ErrorAnswer(kMisdirected, result_code::kNotLeader,
-                    leader ? "the leader is " + leader->name : "no leader"));
+void control_api::ChangeVoters(const http_request& request,
+                               const http_reply& reply) {
+  // A change of voters concerns every service.
+  if (tokens_.Holder(BearerToken(request), "*").empty()) {
+    return reply(ErrorAnswer(kForbidden, result_code::kUnauthorized,
+                             "the token does not name \"*\""));
   }
+  const std::string added = QueryValue(request.query, "add");
+  const std::string removed = QueryValue(request.query, "remove");
+  if (added.empty() == removed.empty()) {
+    return reply(ErrorAnswer(StatusOf(result_code::kUsage), result_code::kUsage,
+                             "name one VM: add=NAME or remove=NAME"));
+  }
+  using change_kind = voter_change_asked::change_kind;
+  consensus_->ChangeVoter(
+      added.empty() ? change_kind::kRemove : change_kind::kAdd,
+      added.empty() ? removed : added, [reply](result_code code, revision) {
+        const unsigned status = code == result_code::kOk ? kOk : StatusOf(code);
+        reply(JsonAnswer(status, ResultJson(code)));
+      });
+}
+
+void control_api::AfterRead(const http_reply& reply,
+                            std::function<void()> show) {
   consensus_->Read([reply, show = std::move(show)](result_code code, revision) {
     if (code == result_code::kOk) return show();
     reply(ErrorAnswer(StatusOf(code), code, "ask again"));
@@ -258,27 +334,21 @@
                               const http_request& request,
                               const http_reply& reply) {
   const std::string asked = QueryValue(request.query, "revision");
-  AtLeader(reply, [this, service, asked, reply] {
+  AfterRead(reply, [this, service, asked, reply] {
     const service_record* record = state_->view().FindService(service);
     const auto history = state_->History(service);
-    if (record == nullptr || history.empty())
+    if (record == nullptr || history.empty()) {
       return reply(
           ErrorAnswer(kNotFound, result_code::kServiceUnknown, service));
+    }
     const revision wanted{asked.empty()
                               ? history.back().accepted.value
                               : std::strtoull(asked.c_str(), nullptr, 10)};
-    std::uint64_t in_force = 0;
-    for (const progress& each : view_->node().Progress()) {
-      if (each.at >= wanted) in_force += each.nodes;
-    }
-    const std::uint64_t known = view_->node().Names().size();
     nlohmann::json body = ResultJson(result_code::kOk);
     body["service"] = service;
     body["version"] = record->document.version;
     body["revision"] = history.back().accepted.value;
-    body["in_force_nodes"] = in_force;
-    body["known_nodes"] = known;
-    body["in_force_everywhere"] = known > 0 && in_force >= known;
+    body.update(InForceJson(in_force_.Status(wanted), frame_->Now()));
     for (const target_record& target : state_->view().TargetsOf(record->id)) {
       body["targets"].push_back(
           {{"vm", target.vm},
@@ -292,23 +362,28 @@
 
 void control_api::ShowHistory(const std::string& service,
                               const http_reply& reply) {
-  AtLeader(reply, [this, service, reply] {
+  AfterRead(reply, [this, service, reply] {
+    const auto history = state_->History(service);
+    if (history.empty())
+      return reply(
+          ErrorAnswer(kNotFound, result_code::kServiceUnknown, service));
     nlohmann::json body = ResultJson(result_code::kOk);
-    body["versions"] = nlohmann::json::array();
-    for (const history_entry& entry : state_->History(service)) {
-      body["versions"].push_back(
-          {{"version", entry.version},
-           {"revision", entry.accepted.value},
-           {"hash", fmt::format("{:016x}", entry.hash)}});
+    for (const history_entry& entry : history) {
+      body["versions"].push_back({{"version", entry.version},
+                                  {"revision", entry.accepted.value},
+                                  {"hash", fmt::format("{:016x}", entry.hash)},
+                                  {"submitter", entry.submitter}});
     }
     reply(JsonAnswer(kOk, body));
   });
 }
 
 void control_api::ShowStatus(const http_reply& reply) {
-  AtLeader(reply, [this, reply] {
+  AfterRead(reply, [this, reply] {
     nlohmann::json body = ResultJson(result_code::kOk);
     body["revision"] = state_->view().at.value;
+    body.update(
+        InForceJson(in_force_.Status(state_->view().at), frame_->Now()));
     body["services"] = nlohmann::json::array();
     for (const auto& [id, record] : state_->view().services) {
       body["services"].push_back(
@@ -316,8 +391,6 @@
            {"version", record.document.version},
            {"targets", state_->view().TargetsOf(id).size()}});
     }
-    for (const node_identity& node : view_->node().Names())
-      body["nodes"].push_back(node.name);
     reply(JsonAnswer(kOk, body));
   });
 }
@@ -335,6 +408,8 @@
     body["voters"].push_back(member.id.name);
   for (const cluster_member& member : status.configuration.learners)
     body["learners"].push_back(member.id.name);
+  for (const member_id& member : status.waiting)
+    body["waiting"].push_back(member.name);
   reply(JsonAnswer(kOk, body));
 }
 
--- a/src/daemon/control_api.h
+++ b/src/daemon/control_api.h
@@ -1,23 +1,31 @@
-// The operators' HTTP API of a control VM: submissions, drains and what is in
-// force. Answers are JSON with the number and the name of the result.
+// The operators' HTTP API of a control VM: submissions, drains, voters, and
+// what is in force. Answers are JSON with the number and the name of the
+// result. A VM that follows forwards what only the leader knows.
 #pragma once
 
+#include <functional>
+#include <map>
 #include <string>
 
 #include "daemon/consensus_agent.h"
 #include "daemon/http_server.h"
+#include "daemon/request_forward.h"
 #include "daemon/view_agent.h"
+#include "tamaracklatch/control/access_tokens.h"
 #include "tamaracklatch/control/control_state.h"
+#include "tamaracklatch/control/in_force_tracker.h"
+#include "tamaracklatch/control/submission_gate.h"
 #include "tamaracklatch/timeline/membership_watch.h"
 
 namespace tamaracklatch {
 
 class control_api : public control_listener {
  public:
-  // All of them must outlive the API; `consensus` is set once it runs.
-  control_api(process_frame* frame, const controld_settings& settings,
-              control_state* state);
+  // All of them must outlive the API.
+  control_api(process_frame* frame, link_hub* hub,
+              const controld_settings& settings, control_state* state);
 
+  // Call before anything else; both must outlive the API.
   void SetAgents(consensus_agent* consensus, view_agent* view);
 
   // Takes a request of an operator.
@@ -30,33 +38,53 @@
   // The state was restored from a snapshot.
   void OnRestored() { watch_.Reset(state_->view()); }
 
+  // Does what is due: answers submissions that wait too long, and looks at what
+  // is in force. Call several times a second.
+  void Tick();
+
   // Proposes a change of membership.
   void ProposeMembership(const membership_batch& batch);
 
+  // The leader among the control VMs; nothing where it is this VM or unknown.
+  std::optional<relay_contact> LeaderContact() const;
+  bool IsLeader() const;
+
  private:
+  void HandleAtLeader(const http_request& request, const http_reply& reply);
+  void HandleService(const std::string& service, const std::string& verb,
+                     const http_request& request, const http_reply& reply);
   void Submit(const std::string& service, const http_request& request,
               const http_reply& reply);
   void Drain(const std::string& service, const http_request& request,
              const http_reply& reply);
+  void ChangeVoters(const http_request& request, const http_reply& reply);
   void ShowService(const std::string& service, const http_request& request,
                    const http_reply& reply);
   void ShowHistory(const std::string& service, const http_reply& reply);
   void ShowStatus(const http_reply& reply);
   void ShowVoters(const http_reply& reply);
-  bool MayChange(const http_request& request, const std::string& service) const;
-  // Answers by `show` once this VM is known to be the leader with all that was
-  // accepted.
-  void AtLeader(const http_reply& reply, std::function<void()> show);
+  // Answers by `show` once this VM is known to lead with all that was accepted.
+  void AfterRead(const http_reply& reply, std::function<void()> show);
+  void Perform(const submission_gate::actions& actions);
+  void Do(const submission_answer& action);
+  void Do(const propose_command& action);
   void TellSubmission(const command_outcome& outcome);
+  void TellInForce(revision at);
 
   process_frame* frame_;
   controld_settings settings_;
   control_state* state_;
   consensus_agent* consensus_ = nullptr;
   view_agent* view_ = nullptr;
-  std::map<std::uint64_t, command_outcome>
-      applied_;  // outcomes of own entries, until they are answered
+  access_tokens tokens_;
+  submission_gate gate_;
+  in_force_tracker in_force_;
+  request_forward forward_;
   membership_watch watch_;
+  std::map<std::uint64_t, http_reply>
+      replies_;  // of submissions, by the request's number
+  std::uint64_t next_request_ = 1;
+  bool led_ = false;  // at the last look
 };
 
 }  // namespace tamaracklatch
--- a/src/daemon/controld.cc
+++ b/src/daemon/controld.cc
@@ -20,7 +20,7 @@
 
 constexpr std::chrono::milliseconds kQuorumInterval{
     500};  // between confirmations that the quorum agrees
-constexpr std::chrono::milliseconds kLeaseInterval{
+constexpr std::chrono::milliseconds kTickInterval{
     100};  // between looks at the leases
 
 relay_settings RelaySettings(const controld_settings& settings,
@@ -68,7 +68,7 @@
       : settings_(settings),
         frame_(settings.process, process_role::kControl),
         hub_(&frame_.loop(), frame_.links(), &frame_.clock(), &frame_.events()),
-        api_(&frame_, settings, &state_),
+        api_(&frame_, &hub_, settings, &state_),
         state_(&api_),
         machine_(&state_, [this] { OnRestored(); }),
         consensus_(&frame_, &hub_, settings, &machine_),
@@ -90,8 +90,9 @@
       return 1;
     }
     frame_.Every(kQuorumInterval, [this] { HearQuorum(); });
-    frame_.Every(kLeaseInterval, [this] { ReportLeases(); });
-    frame_.Every(kLeaseInterval, [this] { JudgeLosses(); });
+    frame_.Every(kTickInterval, [this] { ReportLeases(); });
+    frame_.Every(kTickInterval, [this] { JudgeLosses(); });
+    frame_.Every(kTickInterval, [this] { api_.Tick(); });
     view_.Start();
     frame_.Run([this] { frame_.Stop(); });
     return 0;
@@ -127,17 +128,7 @@
     consensus_.Read([this, asked](result_code code, revision) {
       if (code == result_code::kOk) view_.node().OnQuorumHeard(asked);
     });
-    view_.Perform(view_.node().SetLeader(LeaderContact(), asked));
-  }
-
-  std::optional<relay_contact> LeaderContact() const {
-    const auto& leader = consensus_.node().leader();
-    if (!leader || leader->name == settings_.process.name) return std::nullopt;
-    for (const voter_settings& voter : settings_.voters) {
-      if (voter.name == leader->name)
-        return relay_contact{voter.name, {}, voter.links, 0};
-    }
-    return std::nullopt;
+    view_.Perform(view_.node().SetLeader(api_.LeaderContact(), asked));
   }
 
   void OnMembership(const std::string& peer, const std::string& body) {
@@ -158,7 +149,7 @@
   void ReportLeases() {
     const auto report = leases_.OnTick(state_.view(), frame_.Now());
     if (!report) return;
-    const auto leader = LeaderContact();
+    const auto leader = api_.LeaderContact();
     if (leader)
       return hub_.Send(leader->name, leader->where, frame_kind::kMembership,
                        EncodeMembershipFrame(*report));
@@ -168,7 +159,7 @@
   // At the leader: what changed goes into the log; the answer tells the relay
   // that it was received.
   void TakeReport(const std::string& peer, const membership_report& report) {
-    if (!IsLeader()) return;
+    if (!api_.IsLeader()) return;
     membership_answer answer;
     answer.number = report.number;
     answer.term = consensus_.node().term().value;
@@ -178,12 +169,8 @@
     hub_.Send(peer, {}, frame_kind::kMembership, EncodeMembershipFrame(answer));
   }
 
-  bool IsLeader() const {
-    return consensus_.node().role() == consensus_role::kLeader;
-  }
-
   void JudgeLosses() {
-    if (!IsLeader()) return judge_.Reset();
+    if (!api_.IsLeader()) return judge_.Reset();
     for (const loss_action& action :
          judge_.OnTick(state_.view(), frame_.Now())) {
       std::visit([this](const auto& each) { Do(each); }, action);
--- a/src/daemon/operator_commands.cc
+++ b/src/daemon/operator_commands.cc
@@ -22,9 +22,9 @@
 constexpr std::chrono::milliseconds kRetryPause{
     100};  // between rounds over all control VMs
 constexpr std::chrono::milliseconds kPollInterval{
-    100};                               // between looks at the state in force
-constexpr unsigned kMisdirected = 421;  // this control VM is not the leader
+    100};  // between looks at the state in force
 constexpr unsigned kUnavailable = 503;
+constexpr unsigned kGatewayTimeout = 504;  // the outcome is unknown
 
 std::optional<std::string> ReadWholeFile(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
@@ -50,7 +50,7 @@
       for (const endpoint& server : options_.control) {
         auto answer = HttpExchange(server, request, kTryTimeout, last_failure);
         if (!answer) continue;
-        if (answer->status != kMisdirected && answer->status != kUnavailable)
+        if (answer->status != kGatewayTimeout && answer->status != kUnavailable)
           return answer;
         SetFailure(last_failure, result_code::kOutcomeUnknown,
                    ToString(server) + ": " + answer->body);
