Give every new flow one owner while views differ; test over random histories

Cause: random histories (views up to 3 s apart, 3% lost, 5% repeated packets) showed several searches for one new flow ending at two targets, chosen targets that declined bouncing packets, and flows opened in buckets that the target's newest report did not cover. Change: a search has an arbiter, the lowest one goes on and others follow it; a choice is remembered for 2 s; a chosen target that declines is marked; a target opens only in buckets of its own view; an opening is taken at once only where the bucket's candidates have been the same for 10 s; a balancer skips targets whose address said that they are gone. Holding and the confirmation before a reset show in tests of one owner, not in these histories, where every target is asked.

--- a/include/tamaracklatch/flow/envelope.h
+++ b/include/tamaracklatch/flow/envelope.h
@@ -26,9 +26,10 @@
 // Targets that one packet may visit; longer searches are given up.
 inline constexpr std::size_t kMaxVisits = 12;
 
-// Forwards of one packet between target daemons, at most: every target once,
-// and one more to the target chosen at the end.
-inline constexpr std::uint8_t kMaxHops = kMaxVisits + 2;
+// Forwards of one packet between target daemons, at most: a search visits every
+// target once, then its arbiter and the chosen target, and may start again
+// where another search of the same flow goes before it.
+inline constexpr std::uint8_t kMaxHops = 3 * (kMaxVisits + 2);
 
 inline constexpr std::size_t kMaxEnvelopePayload = 65000;
 inline constexpr std::size_t kMaxEnvelopeHeader = 640;
@@ -64,8 +65,9 @@
 // Stands for "none" in envelope::best.
 inline constexpr std::uint8_t kNoCandidate = 0xff;
 
-// Invariants: candidate_count <= kMaxVisits; visited has bits only below
-// candidate_count; best is kNoCandidate or below candidate_count.
+// Invariants: candidate_count <= kMaxVisits; visited and declined have bits
+// only below candidate_count; arbiter and best are kNoCandidate or below
+// candidate_count.
 struct envelope {
   envelope_kind kind = envelope_kind::kPacket;
   flow_opening opens = flow_opening::kNo;
@@ -83,6 +85,8 @@
   std::uint32_t load = 0;  // of the sender, or of `best` where there is one
   std::uint8_t best = kNoCandidate;  // the least loaded visited that can open
   std::uint16_t visited = 0;         // bit i: candidates[i] does not know it
+  std::uint16_t declined = 0;        // bit i: it was chosen and could not open
+  std::uint8_t arbiter = kNoCandidate;  // began the search, decides at its end
   std::uint8_t candidate_count = 0;
   std::array<candidate, kMaxVisits> candidates;
   std::string_view payload;  // refers to the buffer that was read
--- a/include/tamaracklatch/flow/flow_owner.h
+++ b/include/tamaracklatch/flow/flow_owner.h
@@ -17,6 +17,7 @@
 #include <cstdint>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -186,11 +187,14 @@
     time_point arrived;
   };
 
-  // An opening packet that went to another target daemon a moment ago.
+  // An opening packet of an unknown flow that passed here a moment ago. While
+  // it is remembered, nothing else opens that flow here: of several searches
+  // the one with the lowest arbiter goes on, the others follow it.
   struct passed_packet {
     std::uint64_t hash = 0;
-    target_id to;  // sequence 0: empty
     time_point at;
+    target_id arbiter;  // sequence 0: the entry is empty
+    target_id chosen;   // told to open; sequence 0: not decided here
   };
 
   // The packet that a search is for, besides its envelope.
@@ -211,8 +215,14 @@
   decision DecideEstablished(const search& wanted, const envelope& what) const;
   decision DecideOpening(const search& wanted, envelope* what,
                          std::uint8_t self, time_point now);
+  std::optional<decision> FollowEarlier(const passed_packet& earlier,
+                                        envelope* what) const;
+  decision EndSearch(envelope* what, std::uint8_t self, bool decides) const;
+  void Consider(const search& wanted, envelope* what, std::uint8_t self);
   void AddKnown(const placed_service& service, const search& wanted,
                 envelope* what, time_point now) const;
+  bool IsSettledHere(const search& wanted, time_point now) const;
+  void LearnLoad(std::uint32_t load);
   bool CanOpen() const;
   bool IsCurrentCandidate(const envelope& what, std::uint64_t hash) const;
   std::uint32_t Load() const;
@@ -250,7 +260,8 @@
                     time_point now);
 
   passed_packet* FindPassed(std::uint64_t hash, time_point now);
-  void RememberPassed(std::uint64_t hash, target_id to, time_point now);
+  void RememberPassed(const search& wanted, const envelope& what,
+                      time_point now);
   void Tell(event_id id, result_code code, std::uint64_t hash,
             std::string detail) const;
 
--- a/include/tamaracklatch/flow/flow_router.h
+++ b/include/tamaracklatch/flow/flow_router.h
@@ -16,6 +16,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string_view>
 #include <unordered_map>
 #include <variant>
@@ -104,12 +105,20 @@
   };
 
   void ListAddresses();
+  void ListCandidates(const placed_service& service, std::uint64_t hash,
+                      time_point now, envelope* what) const;
+  const placed_target* AnyTarget(const placed_service& service,
+                                 std::uint64_t hash) const;
+  bool IsGone(target_id id) const;
   std::uint32_t Ticks(time_point now) const;
 
   flow_router_settings settings_;
   placement_table table_;
   std::unordered_map<address_key, listening_service, address_hash> addresses_;
   std::unique_ptr<class owner_cache> cache_;
+  // Targets whose address answered that they are not there, until the view
+  // says so.
+  std::set<target_id> gone_;
   router_counters counters_;
 };
 
--- a/include/tamaracklatch/placement/placement_table.h
+++ b/include/tamaracklatch/placement/placement_table.h
@@ -34,6 +34,7 @@
   std::map<target_id, target_record> targets;
   revision changed_at;  // the revision that last touched it; after a snapshot,
                         // the snapshot's
+  time_point known_since;  // when this node first heard of the service
   std::shared_ptr<const service_placement> current;
   std::vector<past_placement> past;           // newest first
   std::map<target_id, held_buckets> reports;  // the newest of each target
@@ -77,6 +78,11 @@
                                              std::uint64_t flow_hash,
                                              time_point since);
 
+// Whether the current candidates of this flow's bucket have been the same, in
+// the same order, since `since`, so that other nodes have them as well.
+bool IsSettled(const placed_service& service, std::uint64_t flow_hash,
+               time_point since);
+
 // All targets that can hold a flow with this hash, best guess first: the past
 // owners, then targets that report holding its bucket, then targets that have
 // not reported since the service changed. Looks at every target of the service.
--- a/src/flow/envelope.cc
+++ b/src/flow/envelope.cc
@@ -1,7 +1,8 @@
 // The binary form of the envelope:
 //   magic 1, version 1, kind 1, flags 1, service 8, target 8, incarnation 8,
-//   revision 8, load 4, visited 2, best 1, hops 1, candidates 1, protocol 1,
-//   key (2 addresses, 2 ports), origin, candidates, payload, code 8.
+//   revision 8, load 4, visited 2, declined 2, best 1, arbiter 1, hops 1,
+//   candidates 1, protocol 1, key (2 addresses, 2 ports), origin, candidates,
+//   payload, code 8.
 // An IPv4 address takes 5 bytes, an IPv6 address 17.
 #include "tamaracklatch/flow/envelope.h"
 
@@ -91,7 +92,9 @@
   writer->Write(what.at.value);
   writer->Write(what.load);
   writer->Write(what.visited);
+  writer->Write(what.declined);
   writer->Write(what.best);
+  writer->Write(what.arbiter);
   writer->Write(what.hops);
   writer->Write(what.candidate_count);
   writer->Write(static_cast<std::uint8_t>(what.key.protocol));
@@ -118,7 +121,9 @@
   what->at.value = reader->Read<std::uint64_t>();
   what->load = reader->Read<std::uint32_t>();
   what->visited = reader->Read<std::uint16_t>();
+  what->declined = reader->Read<std::uint16_t>();
   what->best = reader->Read<std::uint8_t>();
+  what->arbiter = reader->Read<std::uint8_t>();
   what->hops = reader->Read<std::uint8_t>();
   what->candidate_count = reader->Read<std::uint8_t>();
   const auto protocol = reader->Read<std::uint8_t>();
@@ -129,8 +134,10 @@
   if ((flags & ~kKnownFlags) != 0) return false;
   if (what->candidate_count > kMaxVisits) return false;
   if (what->visited >> what->candidate_count != 0) return false;
-  if (what->best != kNoCandidate && what->best >= what->candidate_count)
-    return false;
+  if (what->declined >> what->candidate_count != 0) return false;
+  for (const std::uint8_t index : {what->best, what->arbiter}) {
+    if (index != kNoCandidate && index >= what->candidate_count) return false;
+  }
   if (what->hops > kMaxHops) return false;
   if (protocol != static_cast<std::uint8_t>(ip_protocol::kTcp) &&
       protocol != static_cast<std::uint8_t>(ip_protocol::kUdp)) {
--- a/src/flow/flow_owner.cc
+++ b/src/flow/flow_owner.cc
@@ -25,6 +25,7 @@
 // How long an opening packet that was passed on is remembered.
 constexpr std::chrono::seconds kPassedFor{2};
 constexpr std::size_t kPassedEntries = 256;  // a power of two
+constexpr std::size_t kPassedWays = 4;
 
 // Flows by the low bits of their hash, for reports. At least kMinBuckets.
 constexpr std::uint32_t kClasses = 2048;
@@ -73,8 +74,14 @@
   what->visited = static_cast<std::uint16_t>(what->visited | 1U << index);
 }
 
-bool IsVisited(const envelope& what, std::uint8_t index) {
-  return (what.visited >> index & 1U) != 0;
+void MarkDeclined(envelope* what, std::uint8_t index) {
+  if (index == kNoCandidate) return;
+  what->declined = static_cast<std::uint16_t>(what->declined | 1U << index);
+}
+
+bool HasDeclined(const envelope& what, target_id id) {
+  const std::uint8_t index = what.IndexOf(id);
+  return index != kNoCandidate && (what.declined >> index & 1U) != 0;
 }
 
 // Whether TCP sequence number `left` is after `right`.
@@ -242,8 +249,7 @@
       break;
   }
   const candidate& next = what->candidates[decided.next];
-  if (what->opens != flow_opening::kNo)
-    RememberPassed(wanted.hash, next.id, now);
+  if (what->opens != flow_opening::kNo) RememberPassed(wanted, *what, now);
   what->target = next.id;
   what->started = next.started;
   ++what->hops;
@@ -277,13 +283,18 @@
     return decided;
   }
   if (what->must_open) {
-    if (CanOpen()) {
+    // What this target reports holding covers only the buckets of its newest
+    // view, so it opens in no other.
+    if (CanOpen() && IsCurrentCandidate(*what, wanted.hash)) {
+      LearnLoad(what->load);
       decided.what = verdict::kOpen;
       return decided;
     }
     // Chosen, but it can't any more: the search starts again without it.
     what->must_open = false;
+    MarkDeclined(what, what->IndexOf(settings_.self));
     what->best = kNoCandidate;
+    what->arbiter = kNoCandidate;
     what->visited = 0;
   }
 
@@ -306,12 +317,13 @@
   for (const std::uint16_t index : {two.first, two.second}) {
     if (index != kNoTarget) AddOnce(placement.targets()[index], what);
   }
-  if (wanted.relayed) return;
-  const std::vector<const placed_target*> holders =
-      what->opens == flow_opening::kYes
-          ? PastOwners(service, wanted.hash, now - kSettleTime)
-          : PossibleHolders(service, wanted.hash);
-  for (const placed_target* holder : holders) AddOnce(*holder, what);
+  // A new connection can be known elsewhere only while views differ.
+  const bool is_new =
+      wanted.relayed || (what->opens == flow_opening::kYes &&
+                         IsSettled(service, wanted.hash, now - kSettleTime));
+  if (is_new) return;
+  for (const placed_target* holder : PossibleHolders(service, wanted.hash))
+    AddOnce(*holder, what);
 }
 
 flow_owner::decision flow_owner::DecideEstablished(const search& wanted,
@@ -342,48 +354,105 @@
                                                envelope* what,
                                                std::uint8_t self,
                                                time_point now) {
-  const bool eligible = self != kNoCandidate && CanOpen() &&
-                        IsCurrentCandidate(*what, wanted.hash);
-  const std::uint32_t load = Load();
-  if (what->best != kNoCandidate) {
-    peer_load_ =
-        peer_load_ - (peer_load_ >> kLoadShift) + (what->load >> kLoadShift);
-  }
-
-  bool is_better = what->best == kNoCandidate || load < what->load;
-  const passed_packet* passed = FindPassed(wanted.hash, now);
-  if (passed != nullptr) {
-    const std::uint8_t other = what->IndexOf(passed->to);
-    if (other != kNoCandidate && !IsVisited(*what, other)) {
-      decision decided;
-      decided.what = verdict::kForward;
-      decided.next = other;
-      return decided;
-    }
-    // Two packets of one new flow search at once, in opposite directions: both
-    // must choose the same target, whatever the loads are by now.
-    if (other != kNoCandidate && other == what->best)
-      is_better = settings_.self < passed->to;
+  decision decided;
+  if (self == kNoCandidate) {
+    decided.why = result_code::kHopLimit;
+    return decided;
   }
-  if (eligible && is_better) {
-    what->best = self;
-    what->load = load;
+  if (what->arbiter == kNoCandidate) what->arbiter = self;
+  const passed_packet* earlier = FindPassed(wanted.hash, now);
+  if (earlier != nullptr) {
+    const std::optional<decision> follows = FollowEarlier(*earlier, what);
+    if (follows) return *follows;
   }
+  Consider(wanted, what, self);
 
-  decision decided;
-  decided.what = verdict::kForward;
+  const bool only_candidates = what->candidate_count <= 2;
   decided.next = NextUnvisited(*what);
-  if (decided.next != kNoCandidate) {
-    // With no earlier owner to ask, a target that is no fuller than the others
-    // takes the packet at once.
-    const bool only_candidates = what->candidate_count <= 2;
-    const bool takes = what->opens == flow_opening::kYes &&
-                       what->best == self && eligible && only_candidates &&
-                       passed == nullptr && load <= peer_load_;
-    if (takes) decided.what = verdict::kOpen;
+  if (decided.next == kNoCandidate) {
+    // Between two targets the second decides, unless another packet of the flow
+    // has been here, perhaps on a longer way.
+    const bool decides =
+        what->arbiter == self || (only_candidates && earlier == nullptr);
+    return EndSearch(what, self, decides);
+  }
+  // With no earlier owner to ask, a target that is no fuller than the others
+  // takes the packet at once.
+  const bool takes = what->opens == flow_opening::kYes && what->best == self &&
+                     only_candidates && earlier == nullptr &&
+                     (wanted.relayed || IsSettledHere(wanted, now)) &&
+                     what->load <= peer_load_;
+  decided.what = takes ? verdict::kOpen : verdict::kForward;
+  return decided;
+}
+
+std::optional<flow_owner::decision> flow_owner::FollowEarlier(
+    const passed_packet& earlier, envelope* what) const {
+  const target_id arbiter = what->candidates[what->arbiter].id;
+  target_id leader;
+  if (earlier.chosen.sequence != 0 && !HasDeclined(*what, earlier.chosen)) {
+    if (earlier.chosen == settings_.self) return std::nullopt;
+    leader = earlier.chosen;
+  } else if (earlier.arbiter < arbiter) {
+    leader = earlier.arbiter;
+  } else {
+    return std::nullopt;
+  }
+  if (leader == settings_.self) {
+    // The search begins again here.
+    what->arbiter = what->IndexOf(leader);
+    what->best = kNoCandidate;
+    what->visited = 0;
+    MarkVisited(what, what->arbiter);
+    return std::nullopt;
+  }
+
+  decision decided;
+  const placed_target* target =
+      table_.Find(settings_.service)->current->Find(leader);
+  if (what->IndexOf(leader) == kNoCandidate &&
+      (target == nullptr || !what->Add(CandidateOf(*target)))) {
+    // It is not in this view yet; the caller's next packet will find it.
+    decided.why = result_code::kViewUnconfirmed;
     return decided;
   }
-  if (what->best == kNoCandidate) {
+  decided.what = verdict::kForward;
+  decided.next = what->IndexOf(leader);
+  if (leader == earlier.chosen) {
+    what->must_open = true;
+    what->best = decided.next;
+  } else {
+    // The search begins again there.
+    what->arbiter = decided.next;
+    what->best = kNoCandidate;
+    what->visited = 0;
+  }
+  return decided;
+}
+
+void flow_owner::Consider(const search& wanted, envelope* what,
+                          std::uint8_t self) {
+  if (what->best != kNoCandidate && what->best != self) {
+    LearnLoad(what->load);
+  }
+  if (!CanOpen() || !IsCurrentCandidate(*what, wanted.hash)) {
+    if (what->best == self) what->best = kNoCandidate;
+    return;
+  }
+  const std::uint32_t load = Load();
+  if (what->best != kNoCandidate && what->best != self && load >= what->load)
+    return;
+  what->best = self;
+  what->load = load;
+}
+
+flow_owner::decision flow_owner::EndSearch(envelope* what, std::uint8_t self,
+                                           bool decides) const {
+  decision decided;
+  decided.what = verdict::kForward;
+  if (!decides) {
+    decided.next = what->arbiter;
+  } else if (what->best == kNoCandidate) {
     decided.what = verdict::kDrop;
     decided.why = result_code::kNoOpenTarget;
   } else if (what->best == self) {
@@ -391,11 +460,20 @@
   } else {
     decided.next = what->best;
     what->must_open = true;
-    what->load = load;
+    what->load = Load();
   }
   return decided;
 }
 
+bool flow_owner::IsSettledHere(const search& wanted, time_point now) const {
+  return IsSettled(*table_.Find(settings_.service), wanted.hash,
+                   now - kSettleTime);
+}
+
+void flow_owner::LearnLoad(std::uint32_t load) {
+  peer_load_ = peer_load_ - (peer_load_ >> kLoadShift) + (load >> kLoadShift);
+}
+
 bool flow_owner::CanOpen() const {
   if (draining_ || flows_->size() >= settings_.max_flows) return false;
   const placed_service* service = table_.Find(settings_.service);
@@ -407,7 +485,7 @@
 bool flow_owner::IsCurrentCandidate(const envelope& what,
                                     std::uint64_t hash) const {
   // A newer view than ours, that could not be had in time, chose the first two.
-  if (what.at > table_.at()) return true;
+  if (what.at > table_.at()) return what.IndexOf(settings_.self) < 2;
   const service_placement& placement = *table_.Find(settings_.service)->current;
   const bucket_candidates two =
       placement.CandidatesOf(placement.BucketOf(hash));
@@ -430,14 +508,34 @@
 
 flow_owner::passed_packet* flow_owner::FindPassed(std::uint64_t hash,
                                                   time_point now) {
-  passed_packet* found = &passed_[hash & (kPassedEntries - 1)];
-  if (found->to.sequence == 0 || found->hash != hash) return nullptr;
-  return now - found->at <= kPassedFor ? found : nullptr;
+  passed_packet* set = &passed_[hash & (kPassedEntries - kPassedWays)];
+  for (std::size_t way = 0; way < kPassedWays; ++way) {
+    passed_packet* found = &set[way];
+    if (found->arbiter.sequence == 0 || found->hash != hash) continue;
+    return now - found->at <= kPassedFor ? found : nullptr;
+  }
+  return nullptr;
 }
 
-void flow_owner::RememberPassed(std::uint64_t hash, target_id to,
+void flow_owner::RememberPassed(const search& wanted, const envelope& what,
                                 time_point now) {
-  passed_[hash & (kPassedEntries - 1)] = {hash, to, now};
+  passed_packet next;
+  next.hash = wanted.hash;
+  next.at = now;
+  if (what.arbiter != kNoCandidate)
+    next.arbiter = what.candidates[what.arbiter].id;
+  if (what.must_open) next.chosen = what.candidates[what.best].id;
+  // In place of the same flow's entry, else of the oldest of the set.
+  passed_packet* set = &passed_[wanted.hash & (kPassedEntries - kPassedWays)];
+  passed_packet* place = set;
+  for (std::size_t way = 0; way < kPassedWays; ++way) {
+    if (set[way].hash == wanted.hash) {
+      place = &set[way];
+      break;
+    }
+    if (set[way].at < place->at) place = &set[way];
+  }
+  *place = next;
 }
 
 // ---- known flows ----
@@ -452,6 +550,7 @@
   ++counters_.opened;
   Tell(event_id::kFlowOpened, result_code::kOk, hash, "");
   Deliver(slot, what, true, now, actions);
+  if (report_due_) SendReport(now, actions);
 }
 
 void flow_owner::Deliver(std::uint32_t slot, const envelope& what, bool opened,
--- a/src/flow/flow_router.cc
+++ b/src/flow/flow_router.cc
@@ -11,9 +11,13 @@
 
 constexpr std::chrono::seconds kCacheTick{1};
 
-// How long after a change an opening packet still asks the earlier owners.
+// How long after a change the earlier owners are listed. Later the target
+// daemons know of them by their reports.
 constexpr std::chrono::seconds kSettleTime{10};
 
+// Targets remembered as gone ahead of the view.
+constexpr std::size_t kMaxGone = 256;
+
 std::uint64_t CacheHash(service_id service, std::uint64_t flow_hash) {
   return flow_hash ^ service.value * 0x9e3779b97f4a7c15ULL;
 }
@@ -27,23 +31,6 @@
   if (!what->Add(CandidateOf(target))) what->exhaustive = false;
 }
 
-// Lists the current candidates, then the earlier owners.
-void ListCandidates(const placed_service& service, std::uint64_t hash,
-                    time_point now, envelope* what) {
-  const service_placement& placement = *service.current;
-  const bucket_candidates two =
-      placement.CandidatesOf(placement.BucketOf(hash));
-  what->candidate_count = 0;
-  for (const std::uint16_t index : {two.first, two.second}) {
-    if (index != kNoTarget) AddOnce(placement.targets()[index], what);
-  }
-  if (service.past.empty()) return;
-  const time_point since =
-      what->opens == flow_opening::kYes ? now - kSettleTime : time_point::min();
-  for (const placed_target* owner : PastOwners(service, hash, since))
-    AddOnce(*owner, what);
-}
-
 }  // namespace
 
 std::size_t flow_router::address_hash::operator()(
@@ -64,11 +51,16 @@
 
 void flow_router::Reset(const cluster_view& view, time_point now) {
   table_.Reset(view, now);
+  gone_.clear();
   ListAddresses();
 }
 
 void flow_router::Apply(const revision_changes& step, time_point now) {
   table_.Apply(step, now);
+  for (const view_change& change : step.changes) {
+    if (const auto* left = std::get_if<target_removed>(&change))
+      gone_.erase(left->target);
+  }
   for (const view_change& change : step.changes) {
     if (std::holds_alternative<service_put>(change) ||
         std::holds_alternative<service_removed>(change)) {
@@ -86,6 +78,42 @@
   }
 }
 
+bool flow_router::IsGone(target_id id) const {
+  return !gone_.empty() && gone_.count(id) > 0;
+}
+
+// Lists the current candidates, then the earlier owners.
+void flow_router::ListCandidates(const placed_service& service,
+                                 std::uint64_t hash, time_point now,
+                                 envelope* what) const {
+  const service_placement& placement = *service.current;
+  const bucket_candidates two =
+      placement.CandidatesOf(placement.BucketOf(hash));
+  what->candidate_count = 0;
+  for (const std::uint16_t index : {two.first, two.second}) {
+    if (index == kNoTarget) continue;
+    const placed_target& target = placement.targets()[index];
+    if (!IsGone(target.id)) AddOnce(target, what);
+  }
+  if (service.past.empty()) return;
+  for (const placed_target* owner :
+       PastOwners(service, hash, now - kSettleTime)) {
+    if (!IsGone(owner->id)) AddOnce(*owner, what);
+  }
+}
+
+// Another target than those that are gone, for a flow without a candidate.
+const placed_target* flow_router::AnyTarget(const placed_service& service,
+                                            std::uint64_t hash) const {
+  const std::vector<placed_target>& targets = service.current->targets();
+  for (std::size_t step = 0; step < targets.size(); ++step) {
+    const placed_target& target =
+        targets[((hash >> 32U) + step) % targets.size()];
+    if (!IsGone(target.id)) return &target;
+  }
+  return nullptr;
+}
+
 std::uint32_t flow_router::Ticks(time_point now) const {
   // Never 0, which marks an empty entry.
   return static_cast<std::uint32_t>(now.time_since_epoch() / kCacheTick) + 1;
@@ -106,6 +134,7 @@
   sent->kind = envelope_kind::kPacket;
   sent->opens = what.opens;
   sent->must_open = false;
+  sent->declined = 0;
   sent->exhaustive = true;
   sent->service = found->second.id;
   sent->at = service.changed_at;
@@ -115,6 +144,7 @@
   sent->load = 0;
   sent->best = kNoCandidate;
   sent->visited = 0;
+  sent->arbiter = kNoCandidate;
   sent->payload = what.bytes;
   ListCandidates(service, hash, now, sent);
 
@@ -127,11 +157,9 @@
     ++counters_.cached;
   } else if (sent->candidate_count > 0) {
     to = service.current->Find(sent->candidates[0].id);
-  } else if (what.opens == flow_opening::kNo &&
-             !service.current->targets().empty()) {
-    // Nothing opens, but any target daemon can look for the owner.
-    const std::vector<placed_target>& targets = service.current->targets();
-    to = &targets[(hash >> 32U) % targets.size()];
+  } else if (what.opens != flow_opening::kYes || !gone_.empty()) {
+    // No candidate is left, but any target daemon can look for the owner.
+    to = AnyTarget(service, hash);
   }
   if (to == nullptr) {
     counters_.refused.Add(result_code::kNoOpenTarget);
@@ -153,7 +181,9 @@
       cache_->Put(hash, what.target, Ticks(now));
       return nothing_to_send{};
     case envelope_kind::kForget:
+      // Ids are never used again, so it stays gone. The view follows.
       cache_->Remove(hash, what.target);
+      if (gone_.size() < kMaxGone) gone_.insert(what.target);
       return nothing_to_send{};
     case envelope_kind::kAnswer:
       return send_to_caller{what.key, what.payload};
--- a/src/placement/placement_table.cc
+++ b/src/placement/placement_table.cc
@@ -21,6 +21,10 @@
   list->push_back(found);
 }
 
+target_id IdOf(const service_placement& placement, std::uint16_t index) {
+  return index == kNoTarget ? target_id() : placement.targets()[index].id;
+}
+
 // What the target said since the service last changed, or null.
 const held_buckets* FreshReport(const placed_service& service, target_id id) {
   const auto found = service.reports.find(id);
@@ -111,7 +115,9 @@
 }
 
 void placement_table::Replace(placed_service* service, time_point now) {
-  if (service->current != nullptr) {
+  if (service->current == nullptr) {
+    service->known_since = now;
+  } else {
     service->past.insert(service->past.begin(), {service->current, now});
     if (service->past.size() > kMaxPastPlacements) service->past.pop_back();
   }
@@ -147,6 +153,26 @@
   return owners;
 }
 
+bool IsSettled(const placed_service& service, std::uint64_t flow_hash,
+               time_point since) {
+  if (service.known_since >= since) return false;
+  const service_placement& current = *service.current;
+  const bucket_candidates now =
+      current.CandidatesOf(current.BucketOf(flow_hash));
+  for (const past_placement& past : service.past) {
+    if (past.replaced_at < since) return true;
+    const service_placement& placement = *past.placement;
+    const bucket_candidates then =
+        placement.CandidatesOf(placement.BucketOf(flow_hash));
+    if (IdOf(current, now.first) != IdOf(placement, then.first) ||
+        IdOf(current, now.second) != IdOf(placement, then.second)) {
+      return false;
+    }
+  }
+  // Changes older than those remembered may be recent as well.
+  return service.past.size() < kMaxPastPlacements;
+}
+
 std::vector<const placed_target*> PossibleHolders(const placed_service& service,
                                                   std::uint64_t flow_hash) {
   std::vector<const placed_target*> holders =
--- a/tests/flow/envelope_test.cc
+++ b/tests/flow/envelope_test.cc
@@ -56,6 +56,7 @@
   if (count > 0) {
     what.best =
         static_cast<std::uint8_t>(*rc::gen::inRange<std::uint32_t>(0, count));
+    what.arbiter = 0;
     what.visited = static_cast<std::uint16_t>(*rc::gen::inRange(0, 1 << count));
   }
   what.payload = payload;
@@ -63,17 +64,18 @@
 }
 
 bool Same(const envelope& left, const envelope& right) {
-  bool same = left.kind == right.kind && left.opens == right.opens &&
-              left.wants_hint == right.wants_hint &&
-              left.must_open == right.must_open &&
-              left.exhaustive == right.exhaustive &&
-              left.service == right.service && left.target == right.target &&
-              left.started == right.started && left.at == right.at &&
-              left.key == right.key && left.origin == right.origin &&
-              left.hops == right.hops && left.load == right.load &&
-              left.best == right.best && left.visited == right.visited &&
-              left.payload == right.payload &&
-              left.candidate_count == right.candidate_count;
+  bool same =
+      left.kind == right.kind && left.opens == right.opens &&
+      left.wants_hint == right.wants_hint &&
+      left.must_open == right.must_open &&
+      left.exhaustive == right.exhaustive && left.service == right.service &&
+      left.target == right.target && left.started == right.started &&
+      left.at == right.at && left.key == right.key &&
+      left.origin == right.origin && left.hops == right.hops &&
+      left.load == right.load && left.best == right.best &&
+      left.visited == right.visited && left.arbiter == right.arbiter &&
+      left.declined == right.declined && left.payload == right.payload &&
+      left.candidate_count == right.candidate_count;
   for (std::size_t at = 0; same && at < left.candidate_count; ++at)
     same = left.candidates[at] == right.candidates[at];
   return same;
@@ -120,12 +122,14 @@
       {3, 0x03, result_code::kEnvelopeMalformed},
       {3, 0x20, result_code::kEnvelopeMalformed},
       {40, 0x01, result_code::kEnvelopeMalformed},  // visited past the list
-      {42, 3, result_code::kEnvelopeMalformed},     // best past the list
-      {43, kMaxHops + 1, result_code::kEnvelopeMalformed},
-      {44, kMaxVisits + 1, result_code::kEnvelopeMalformed},
-      {44, 5, result_code::kEnvelopeTruncated},  // more than there are
-      {45, 1, result_code::kEnvelopeMalformed},  // protocol
-      {46, 5, result_code::kEnvelopeMalformed},  // address family
+      {42, 0x01, result_code::kEnvelopeMalformed},  // declined past the list
+      {44, 3, result_code::kEnvelopeMalformed},     // best past the list
+      {45, 3, result_code::kEnvelopeMalformed},     // arbiter past the list
+      {46, kMaxHops + 1, result_code::kEnvelopeMalformed},
+      {47, kMaxVisits + 1, result_code::kEnvelopeMalformed},
+      {47, 5, result_code::kEnvelopeTruncated},  // more than there are
+      {48, 1, result_code::kEnvelopeMalformed},  // protocol
+      {49, 5, result_code::kEnvelopeMalformed},  // address family
   };
   for (const row& each : kRows) {
     std::string sound;
--- /dev/null
+++ b/tests/flow/history_test.cc
@@ -0,0 +1,115 @@
+// Properties over random histories of planned changes and losses, with every
+// node at a revision of its own and packets reordered, repeated and lost.
+#include "flow/fleet.h"
+#include "support/property.h"
+
+namespace tamaracklatch {
+namespace {
+
+using test::fleet;
+
+constexpr std::size_t kSteps = 60;
+constexpr std::size_t kFewestTargets = 2;
+constexpr std::chrono::milliseconds kLongestPause{600};
+
+// One planned change of the configuration, or none where it does not fit.
+void PlannedChange(fleet* system, service_id service) {
+  const std::vector<target_id> serving = system->TargetsOf(service, true);
+  const std::vector<target_id> draining = system->TargetsOf(service, false);
+  const target_id some =
+      serving[system->Pick(static_cast<std::uint32_t>(serving.size()))];
+  switch (system->Pick(6)) {
+    case 0:
+      system->Join(service, 1 + system->Pick(4));
+      return;
+    case 1:
+      if (serving.size() > kFewestTargets) system->Drain(some);
+      return;
+    case 2:
+      system->SetCapacity(some, 1 + system->Pick(8));
+      return;
+    case 3:
+      system->SetWeightZero(some);
+      return;
+    case 4:
+      system->RestartRouter(system->Pick(3));
+      return;
+    default:
+      for (const target_id target : draining) {
+        if (system->FlowsAt(target) > 0) continue;
+        system->Leave(target);
+        return;
+      }
+  }
+}
+
+// Some packets of old and new flows, through any router.
+void Traffic(fleet* system, service_id service) {
+  const auto protocol =
+      system->Pick(2) == 0 ? ip_protocol::kTcp : ip_protocol::kUdp;
+  const std::size_t opened =
+      system->OpenFlow(service, protocol, system->Pick(3));
+  // The fabric may spray the first packets over several routers.
+  if (system->Pick(3) == 0) system->SendOn(opened, system->Pick(3));
+  for (int repeat = 0; repeat < 6; ++repeat) {
+    const std::size_t flow =
+        system->Pick(static_cast<std::uint32_t>(system->flows().size()));
+    system->SendOn(flow, system->Pick(3));
+    if (system->Pick(20) == 0) system->EndFlow(flow);
+  }
+}
+
+void StartTargets(fleet* system) {
+  for (std::uint64_t service = 1; service <= fleet::kServices; ++service) {
+    for (std::size_t count = 0; count < kFewestTargets + 1; ++count)
+      system->Join({service});
+  }
+  system->Run(std::chrono::seconds(4));
+}
+
+service_id AnyService(fleet* system) {
+  return {1 + system->Pick(fleet::kServices)};
+}
+
+Test(history, planned_changes_break_nothing) {
+  test::CheckProperty("planned changes", [](std::uint64_t seed) {
+    fleet system({seed});
+    StartTargets(&system);
+    for (std::size_t step = 0; step < kSteps; ++step) {
+      if (system.Pick(3) == 0) PlannedChange(&system, AnyService(&system));
+      Traffic(&system, AnyService(&system));
+      system.Run(std::chrono::milliseconds(
+          system.Pick(static_cast<std::uint32_t>(kLongestPause.count()))));
+    }
+    system.CheckReachable();
+    RC_LOG() << ToString(system.broken());
+    RC_ASSERT(system.broken().Sum() == 0U);
+  });
+}
+
+// Targets are lost at any moment and their addresses go to the other service;
+// only their own flows may suffer.
+Test(history, losses_and_reused_addresses_reach_no_other_service) {
+  test::CheckProperty("lost targets", [](std::uint64_t seed) {
+    fleet system({seed});
+    StartTargets(&system);
+    for (std::size_t step = 0; step < kSteps; ++step) {
+      const service_id service = AnyService(&system);
+      const std::vector<target_id> serving = system.TargetsOf(service, true);
+      if (system.Pick(6) == 0 && serving.size() > kFewestTargets) {
+        system.Leave(
+            serving[system.Pick(static_cast<std::uint32_t>(serving.size()))]);
+        system.Join({3 - service.value});
+      }
+      Traffic(&system, AnyService(&system));
+      system.Run(std::chrono::milliseconds(
+          system.Pick(static_cast<std::uint32_t>(kLongestPause.count()))));
+    }
+    system.CheckReachable();
+    RC_LOG() << ToString(system.broken());
+    RC_ASSERT(system.broken().Sum() == 0U);
+  });
+}
+
+}  // namespace
+}  // namespace tamaracklatch
--- /dev/null
+++ b/tests/flow/owner_test.cc
@@ -0,0 +1,265 @@
+// Tests of one owner alone: holding, resetting, stuck flows, limits, drain.
+#include <algorithm>
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "support/property.h"
+#include "tamaracklatch/flow/flow_owner.h"
+
+namespace tamaracklatch {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr service_id kService{1};
+constexpr target_id kSelf{0, 1};
+constexpr incarnation kStarted{77};
+constexpr time_point kStart{seconds(1000)};
+
+endpoint Place(std::uint32_t host) { return {MakeV4(0x0a010000 + host), 7000}; }
+
+// One owner of the only target of a service, and what it asked for.
+struct lone_owner {
+  explicit lone_owner(const flow_limits& limits = {}) {
+    service_document document;
+    document.service = "booking";
+    document.flows = limits;
+    view.at = {1};
+    view.services[kService] = {kService, document};
+    target_record self;
+    self.id = kSelf;
+    self.service = kService;
+    self.started = kStarted;
+    self.packets = Place(1);
+    view.targets[kSelf] = self;
+    flow_owner_settings settings;
+    settings.service = kService;
+    settings.self = kSelf;
+    settings.started = kStarted;
+    settings.packets = self.packets;
+    owner = std::make_unique<flow_owner>(settings, kStart);
+    owner->Reset(view, kStart, &actions);
+    actions.clear();
+  }
+
+  envelope Packet(ip_protocol protocol, flow_opening opens) const {
+    envelope what;
+    what.opens = opens;
+    what.service = kService;
+    what.target = kSelf;
+    what.started = kStarted;
+    what.at = {1};
+    what.key = {MakeV4(0x0a700001), MakeV4(0x0a090001), 1234, 80, protocol};
+    what.origin = Place(200);
+    what.payload = "data";
+    return what;
+  }
+
+  template <typename Action>
+  std::size_t Count() const {
+    return static_cast<std::size_t>(std::count_if(
+        actions.begin(), actions.end(), [](const owner_action& each) {
+          return std::holds_alternative<Action>(each);
+        }));
+  }
+
+  std::size_t CountSent(envelope_kind kind) const {
+    return static_cast<std::size_t>(std::count_if(
+        actions.begin(), actions.end(), [kind](const owner_action& each) {
+          const auto* sent = std::get_if<send_envelope>(&each);
+          return sent != nullptr && sent->what.kind == kind;
+        }));
+  }
+
+  // Ticks until `end` or the first close; gives the time of the last tick.
+  time_point TickUntilClosed(time_point from, time_point end) {
+    time_point now = from;
+    while (now < end && Count<close_towards_target>() == 0) {
+      now += kTickEvery;
+      owner->Tick(now, &actions);
+    }
+    return now;
+  }
+
+  cluster_view view;
+  std::unique_ptr<flow_owner> owner;
+  std::vector<owner_action> actions;
+};
+
+Test(owner, holds_a_packet_of_a_newer_view_until_it_comes) {
+  lone_owner alone;
+  envelope what = alone.Packet(ip_protocol::kTcp, flow_opening::kYes);
+  what.at = {2};
+  alone.owner->OnEnvelope(what, kStart, &alone.actions);
+  cr_assert(alone.Count<deliver_packet>() == 0);
+  cr_assert(alone.Count<pull_view>() == 1);
+  alone.owner->Apply({{2}, {}}, kStart, &alone.actions);
+  cr_assert(alone.Count<deliver_packet>() == 1);
+}
+
+Test(owner, bounds_how_long_and_how_many_it_holds) {
+  lone_owner alone;
+  envelope what = alone.Packet(ip_protocol::kTcp, flow_opening::kNo);
+  for (std::uint16_t port = 0; port < 300; ++port) {
+    what.key.source_port = port;
+    alone.owner->OnEnvelope(what, kStart, &alone.actions);
+  }
+  const flow_counters& counters = alone.owner->counters();
+  cr_assert(counters.held == 256);
+  cr_assert(counters.refused.Of(result_code::kHoldLimit) == 44);
+  alone.owner->Tick(kStart + seconds(1), &alone.actions);
+  cr_assert(counters.refused.Of(result_code::kViewUnconfirmed) == 256);
+  cr_assert(alone.CountSent(envelope_kind::kReset) == 0);
+}
+
+Test(owner, resets_an_unknown_flow_only_once_the_view_is_confirmed) {
+  struct row {
+    revision newest;
+    std::size_t resets;
+  };
+  constexpr row kRows[] = {{{1}, 1}, {{2}, 0}};
+  for (const row& each : kRows) {
+    lone_owner alone;
+    const envelope what = alone.Packet(ip_protocol::kTcp, flow_opening::kNo);
+    alone.owner->OnEnvelope(what, kStart, &alone.actions);
+    cr_assert(alone.CountSent(envelope_kind::kReset) == 0);
+    alone.owner->OnViewConfirmed(each.newest, kStart, &alone.actions);
+    cr_assert(alone.CountSent(envelope_kind::kReset) == each.resets);
+  }
+}
+
+// How a flow gets stuck, by port.
+enum class silence { kDatagrams, kRelayToTarget, kRelayToCaller };
+
+void MakeStuck(silence kind, lone_owner* alone, time_point now) {
+  std::vector<owner_action>* actions = &alone->actions;
+  if (kind == silence::kDatagrams) {
+    const envelope what =
+        alone->Packet(ip_protocol::kUdp, flow_opening::kUnknown);
+    alone->owner->OnEnvelope(what, now, actions);
+    alone->owner->OnAnswer(what.key, "answer", now, actions);
+    alone->owner->OnEnvelope(what, now, actions);
+    return;
+  }
+  const envelope what = alone->Packet(ip_protocol::kTcp, flow_opening::kYes);
+  alone->owner->OnRelayOpen(what, now, actions);
+  const auto direction = kind == silence::kRelayToTarget
+                             ? flow_direction::kToTarget
+                             : flow_direction::kToCaller;
+  alone->owner->OnRelayProgress(what.key, {direction, true, true}, now);
+}
+
+Test(owner, closes_stuck_flows_towards_both_ends_within_the_limit) {
+  for (const silence kind : {silence::kDatagrams, silence::kRelayToTarget,
+                             silence::kRelayToCaller}) {
+    test::CheckProperty("stuck flows", [kind]() {
+      flow_limits limits;
+      limits.stuck_limit = seconds(*rc::gen::inRange(1, 120));
+      lone_owner alone(limits);
+      const time_point stuck_at =
+          kStart + milliseconds(*rc::gen::inRange(0, 5000));
+      alone.owner->Tick(stuck_at, &alone.actions);
+      MakeStuck(kind, &alone, stuck_at);
+      const time_point closed_at = alone.TickUntilClosed(
+          stuck_at, stuck_at + limits.stuck_limit + seconds(5));
+      RC_ASSERT(alone.Count<close_towards_target>() == 1U);
+      RC_ASSERT(alone.Count<close_towards_caller>() == 1U);
+      RC_ASSERT(closed_at <= stuck_at + limits.stuck_limit);
+      RC_ASSERT(closed_at >= stuck_at + limits.stuck_limit / 4);
+      const bool datagrams = kind == silence::kDatagrams;
+      RC_ASSERT(alone.CountSent(envelope_kind::kReset) ==
+                (datagrams ? 1U : 0U));
+      RC_ASSERT(alone.owner->flow_count() == 0U);
+    });
+  }
+}
+
+Test(owner, leaves_flows_alone_that_make_progress) {
+  lone_owner alone;
+  const envelope what = alone.Packet(ip_protocol::kUdp, flow_opening::kUnknown);
+  time_point now = kStart;
+  for (int round = 0; round < 200; ++round) {
+    alone.owner->OnEnvelope(what, now, &alone.actions);
+    alone.owner->OnAnswer(what.key, "answer", now + seconds(20),
+                          &alone.actions);
+    now += seconds(25);
+    alone.owner->Tick(now, &alone.actions);
+  }
+  cr_assert(alone.Count<close_towards_target>() == 0);
+  cr_assert(alone.owner->counters().opened == 1);
+}
+
+Test(owner, ends_flows_by_the_limits_of_the_document) {
+  struct row {
+    bool drains;
+    result_code why;
+    seconds after;
+    std::size_t towards_caller;
+  };
+  const row rows[] = {{false, result_code::kFlowIdle, seconds(600), 0},
+                      {true, result_code::kFlowDrainLimit, seconds(90), 1}};
+  for (const row& each : rows) {
+    flow_limits limits;
+    limits.idle_limit = seconds(600);
+    limits.drain_limit = seconds(90);
+    lone_owner alone(limits);
+    alone.owner->OnEnvelope(alone.Packet(ip_protocol::kTcp, flow_opening::kYes),
+                            kStart, &alone.actions);
+    if (each.drains) alone.owner->BeginDrain(kStart);
+    const time_point closed_at =
+        alone.TickUntilClosed(kStart, kStart + seconds(2000));
+    cr_assert(closed_at >= kStart + each.after);
+    cr_assert(closed_at <= kStart + each.after + 2 * kTickEvery);
+    cr_assert(alone.Count<close_towards_caller>() == each.towards_caller);
+    cr_assert(alone.owner->counters().refused.Of(each.why) == 1);
+  }
+}
+
+Test(owner, opens_nothing_while_it_drains) {
+  for (const flow_opening opens :
+       {flow_opening::kYes, flow_opening::kUnknown}) {
+    lone_owner alone;
+    alone.owner->BeginDrain(kStart);
+    const ip_protocol protocol =
+        opens == flow_opening::kYes ? ip_protocol::kTcp : ip_protocol::kUdp;
+    alone.owner->OnEnvelope(alone.Packet(protocol, opens), kStart,
+                            &alone.actions);
+    cr_assert(alone.owner->flow_count() == 0);
+    cr_assert(alone.owner->counters().refused.Of(result_code::kNoOpenTarget) ==
+              1);
+  }
+  lone_owner alone;
+  alone.owner->BeginDrain(kStart);
+  alone.owner->OnRelayOpen(alone.Packet(ip_protocol::kTcp, flow_opening::kYes),
+                           kStart, &alone.actions);
+  cr_assert(alone.Count<refuse_relay>() == 1);
+}
+
+Test(owner, drops_what_is_not_its_own) {
+  struct row {
+    service_id service;
+    target_id target;
+    incarnation started;
+    result_code why;
+  };
+  const row rows[] = {
+      {{2}, kSelf, kStarted, result_code::kWrongService},
+      {kService, {0, 2}, kStarted, result_code::kWrongIncarnation},
+      {kService, kSelf, {78}, result_code::kWrongIncarnation}};
+  for (const row& each : rows) {
+    lone_owner alone;
+    envelope what = alone.Packet(ip_protocol::kTcp, flow_opening::kYes);
+    what.service = each.service;
+    what.target = each.target;
+    what.started = each.started;
+    alone.owner->OnEnvelope(what, kStart, &alone.actions);
+    cr_assert(alone.Count<deliver_packet>() == 0);
+    cr_assert(alone.CountSent(envelope_kind::kForget) == 1);
+    cr_assert(alone.owner->counters().refused.Of(each.why) == 1);
+  }
+}
+
+}  // namespace
+}  // namespace tamaracklatch
--- /dev/null
+++ b/tests/flow/packet_test.cc
@@ -0,0 +1,162 @@
+// Tests of the IP parser: sound packets of both versions, and a numbered
+// refusal for every fault.
+#include "tamaracklatch/flow/packet.h"
+
+#include <netinet/in.h>
+#include <netinet/ip.h>
+#include <netinet/ip6.h>
+#include <netinet/tcp.h>
+#include <netinet/udp.h>
+
+#include <cstddef>
+#include <string>
+
+#include "support/property.h"
+
+namespace tamaracklatch {
+namespace {
+
+template <typename Header>
+std::string Bytes(const Header& header) {
+  return std::string(reinterpret_cast<const char*>(&header), sizeof(header));
+}
+
+std::string Tcp(std::uint8_t flags, const std::string& payload) {
+  tcphdr header{};
+  header.source = htons(1234);
+  header.dest = htons(80);
+  header.seq = htonl(1000);
+  header.ack_seq = htonl(2000);
+  header.doff = sizeof(header) / 4;
+  header.th_flags = flags;
+  return Bytes(header) + payload;
+}
+
+std::string Udp(const std::string& payload) {
+  udphdr header{};
+  header.source = htons(1234);
+  header.dest = htons(80);
+  header.len =
+      htons(static_cast<std::uint16_t>(sizeof(header) + payload.size()));
+  return Bytes(header) + payload;
+}
+
+std::string V4(std::uint8_t protocol, const std::string& inside) {
+  iphdr header{};
+  header.version = 4;
+  header.ihl = 5;
+  header.protocol = protocol;
+  header.tot_len =
+      htons(static_cast<std::uint16_t>(sizeof(header) + inside.size()));
+  header.saddr = htonl(0x0a700001);
+  header.daddr = htonl(0x0a090001);
+  return Bytes(header) + inside;
+}
+
+std::string V6(std::uint8_t protocol, const std::string& inside) {
+  ip6_hdr header{};
+  header.ip6_vfc = 0x60;
+  header.ip6_nxt = protocol;
+  header.ip6_plen = htons(static_cast<std::uint16_t>(inside.size()));
+  header.ip6_src.s6_addr[0] = 0xfd;
+  header.ip6_dst.s6_addr[0] = 0xfd;
+  header.ip6_dst.s6_addr[15] = 1;
+  return Bytes(header) + inside;
+}
+
+Test(packet, reads_headers) {
+  struct row {
+    std::string bytes;
+    ip_protocol protocol;
+    flow_opening opens;
+  };
+  const row rows[] = {
+      {V4(IPPROTO_TCP, Tcp(TH_SYN, "")), ip_protocol::kTcp, flow_opening::kYes},
+      {V4(IPPROTO_TCP, Tcp(TH_ACK, "abc")), ip_protocol::kTcp,
+       flow_opening::kNo},
+      {V4(IPPROTO_TCP, Tcp(TH_SYN | TH_ACK, "")), ip_protocol::kTcp,
+       flow_opening::kNo},
+      {V4(IPPROTO_UDP, Udp("abc")), ip_protocol::kUdp, flow_opening::kUnknown},
+      {V6(IPPROTO_TCP, Tcp(TH_SYN, "")), ip_protocol::kTcp, flow_opening::kYes},
+      {V6(IPPROTO_UDP, Udp("")), ip_protocol::kUdp, flow_opening::kUnknown},
+  };
+  for (const row& each : rows) {
+    const auto parsed = ParseIpPacket(each.bytes, nullptr);
+    cr_assert(parsed.has_value());
+    cr_assert(parsed->what.key.protocol == each.protocol);
+    cr_assert(parsed->what.opens == each.opens);
+    cr_assert(parsed->what.key.source_port == 1234);
+    cr_assert(parsed->what.key.destination_port == 80);
+    cr_assert(parsed->tcp.has_value() == (each.protocol == ip_protocol::kTcp));
+  }
+  const auto v4 = ParseIpPacket(rows[1].bytes, nullptr);
+  cr_assert(v4->what.key.source == MakeV4(0x0a700001));
+  cr_assert(v4->what.key.destination == MakeV4(0x0a090001));
+  cr_assert(v4->tcp->sequence == 1000);
+  cr_assert(v4->tcp->acknowledged == 2000);
+  cr_assert(v4->tcp->payload_bytes == 3);
+}
+
+Test(packet, refuses_faults_by_number) {
+  struct row {
+    std::string bytes;
+    std::size_t at;  // the byte that is changed
+    std::uint8_t value;
+    result_code expected;
+  };
+  const std::string tcp = V4(IPPROTO_TCP, Tcp(TH_SYN, ""));
+  const std::string udp = V4(IPPROTO_UDP, Udp("abc"));
+  const std::string v6 = V6(IPPROTO_TCP, Tcp(TH_SYN, ""));
+  const row rows[] = {
+      {tcp, 0, 0x15, result_code::kPacketMalformed},    // version
+      {tcp, 0, 0x44, result_code::kPacketMalformed},    // header length
+      {tcp, 0, 0x4f, result_code::kPacketMalformed},    // past the packet
+      {tcp, 3, 0x01, result_code::kPacketMalformed},    // total length
+      {tcp, 2, 0x10, result_code::kPacketTruncated},    // total length
+      {tcp, 6, 0x20, result_code::kPacketUnsupported},  // more fragments
+      {tcp, 7, 0x01, result_code::kPacketUnsupported},  // fragment offset
+      {tcp, 9, IPPROTO_ICMP, result_code::kPacketUnsupported},
+      {tcp, 32, 0x10, result_code::kPacketMalformed},  // TCP offset
+      {tcp, 32, 0xf0, result_code::kPacketTruncated},  // TCP options
+      {tcp, 33, TH_SYN | TH_RST, result_code::kPacketMalformed},
+      {udp, 25, 0x07, result_code::kPacketMalformed},  // UDP length
+      {udp, 24, 0x10, result_code::kPacketMalformed},  // UDP length
+      {v6, 6, IPPROTO_FRAGMENT, result_code::kPacketUnsupported},
+      {v6, 4, 0x10, result_code::kPacketTruncated},  // payload length
+      {v6, 5, 0x04, result_code::kPacketTruncated},  // payload length
+  };
+  for (const row& each : rows) {
+    std::string bytes = each.bytes;
+    bytes[each.at] = static_cast<char>(each.value);
+    failure why;
+    cr_assert(!ParseIpPacket(bytes, &why));
+    cr_assert(why.code == each.expected, "byte %zu: %s", each.at,
+              ToString(why).c_str());
+  }
+}
+
+Test(packet, refuses_every_cut) {
+  for (const std::string& sound :
+       {V4(IPPROTO_TCP, Tcp(TH_SYN, "abc")), V4(IPPROTO_UDP, Udp("abc")),
+        V6(IPPROTO_TCP, Tcp(TH_SYN, "abc")), V6(IPPROTO_UDP, Udp("abc"))}) {
+    for (std::size_t size = 0; size < sound.size(); ++size) {
+      failure why;
+      cr_assert(!ParseIpPacket(sound.substr(0, size), &why));
+      cr_assert(why.code == result_code::kPacketTruncated);
+    }
+  }
+}
+
+Test(packet, survives_any_bytes) {
+  test::CheckProperty("no bytes crash the parser", [](std::string bytes) {
+    if (!bytes.empty() && *rc::gen::arbitrary<bool>())
+      bytes[0] = *rc::gen::element('\x45', '\x4f', '\x60');
+    failure why;
+    if (ParseIpPacket(bytes, &why)) return;
+    RC_ASSERT(why.code >= result_code::kPacketTruncated);
+    RC_ASSERT(why.code <= result_code::kPacketUnsupported);
+  });
+}
+
+}  // namespace
+}  // namespace tamaracklatch
