--- a/include/tamaracklatch/control/in_force_tracker.h
+++ b/include/tamaracklatch/control/in_force_tracker.h
@@ -40,7 +40,8 @@
  public:
   explicit in_force_tracker(const in_force_settings& settings);
 
-  // A revision was accepted; its time in force will be remembered.
+  // A revision was accepted; its time in force will be remembered. One that is
+  // not above all before it is a resend and changes nothing.
   void OnAccepted(revision at);
 
   // What the relays report now. Returns the revisions that have come into
--- a/src/daemon/control_api.cc
+++ b/src/daemon/control_api.cc
@@ -215,9 +215,11 @@
 
 void control_api::OnApplied(const command_outcome& outcome,
                             const revision_changes& changes) {
-  if (outcome.code == result_code::kOk && !outcome.service.empty())
-    in_force_.OnAccepted(outcome.accepted);
-  if (!outcome.service.empty()) TellSubmission(outcome);
+  if (!outcome.service.empty()) {
+    if (outcome.code == result_code::kOk)
+      in_force_.OnAccepted(outcome.accepted);
+    TellSubmission(outcome);
+  }
   Perform(gate_.OnApplied(outcome));
   for (const event& what : watch_.OnChanges(changes))
     frame_->events().OnEvent(what);
