--- a/src/admission/admission_queue.cc
+++ b/src/admission/admission_queue.cc
@@ -294,9 +294,9 @@
     if (outcome != run_outcome::kAnswered) return;
     const duration took = now - run.began;
     own.Learn(std::max(took, duration(1)));
-    const double usual = static_cast<double>(own.usual_time().count());
-    limit.OnAnswer(static_cast<double>(took.count()) / usual, run.running,
-                   count, now);
+    const auto scale = static_cast<double>(own.long_time().count());
+    limit.OnAnswer(static_cast<double>(took.count()) / std::max(scale, 1.0),
+                   run.running, now);
   }
 
   std::vector<admission_action> Take() { return std::exchange(actions, {}); }
--- a/src/admission/class_queue.cc
+++ b/src/admission/class_queue.cc
@@ -10,6 +10,8 @@
 
 // Weight of the newest run in the usual time.
 constexpr double kNewestWeight = 0.1;
+// Runs of which the long mean is made.
+constexpr std::uint32_t kLongMean = 1000;
 
 double Seconds(duration time) {
   return std::chrono::duration<double>(time).count();
@@ -117,6 +119,9 @@
 }
 
 void class_queue::Learn(duration service_time) {
+  learned_ = std::min(learned_ + 1, kLongMean);
+  long_time_ +=
+      (static_cast<double>(service_time.count()) - long_time_) / learned_;
   if (usual_time_ == duration(0)) {
     usual_time_ = service_time;
     return;
--- a/src/admission/class_queue.h
+++ b/src/admission/class_queue.h
@@ -63,6 +63,12 @@
   // Usual time of a run; zero before the first.
   duration usual_time() const { return usual_time_; }
 
+  // Mean time of the last thousand runs or so: the scale of the class, which
+  // follows load only slowly.
+  duration long_time() const {
+    return duration(static_cast<duration::rep>(long_time_));
+  }
+
   // Waiting requests that would be served before one more of this caller.
   std::size_t Ahead(caller_id caller) const;
 
@@ -94,6 +100,8 @@
   std::uint32_t running_ = 0;
   std::uint64_t turns_ = 0;
   duration usual_time_{0};
+  double long_time_ = 0.0;  // microseconds
+  std::uint32_t learned_ = 0;
 };
 
 }  // namespace tamaracklatch
--- a/src/admission/slot_limit.cc
+++ b/src/admission/slot_limit.cc
@@ -10,9 +10,11 @@
 
 constexpr duration kFirstHold = std::chrono::seconds(1);
 constexpr duration kLongestHold = std::chrono::seconds(60);
-constexpr std::uint32_t kSamples = 24;  // of each kind before a comparison
-constexpr double kSlowedBy = 1.5;       // full over light that lowers the limit
-constexpr std::uint32_t kForgetAt = 256;  // samples; older ones count half
+// Without a new comparison, one that showed a slowdown counts for this long.
+constexpr duration kSlowHold = std::chrono::minutes(2);
+constexpr std::uint32_t kSamples = 256;  // of each kind before a comparison
+constexpr double kSteadyBelow = 1.2;  // full over light that allows a step up
+constexpr double kSlowedBy = 1.5;     // full over light that lowers the limit
 
 }  // namespace
 
@@ -26,41 +28,43 @@
   *this = slot_limit(reported);
 }
 
-void slot_limit::OnShed(std::uint32_t running, time_point now) {
-  assert(running > 0);
-  Lower(std::min(current_, running) - 1, now);
+void slot_limit::OnAnswer(double relative, std::uint32_t running,
+                          time_point now) {
+  const bool full = running >= current_;
+  if (full) full_.Add(relative);
+  if (running * 2 <= current_) light_.Add(relative);
+  Compare(now);
+  if (full) Raise(now);
 }
 
-void slot_limit::OnAnswer(double relative, std::uint32_t at_begin,
-                          std::uint32_t at_end, time_point now) {
-  const bool full = std::min(at_begin, at_end) >= current_;
-  const bool light = std::max(at_begin, at_end) * 2 <= current_;
-  mean_time* kind = nullptr;
-  if (full) kind = &full_;
-  if (light) kind = &light_;
-  if (kind != nullptr) {
-    kind->sum += relative;
-    if (++kind->count >= kForgetAt) {
-      kind->sum /= 2;
-      kind->count /= 2;
-    }
-  }
-  const bool comparable = full_.count >= kSamples && light_.count >= kSamples;
-  if (comparable && full_.Mean() > kSlowedBy * light_.Mean()) {
-    Lower(current_ - 1, now);
-    return;
+void slot_limit::Compare(time_point now) {
+  if (full_.count < kSamples || light_.count < kSamples) return;
+  const double ratio = full_.Mean() / light_.Mean();
+  // Each run counts in one comparison only, so that a chance streak passes.
+  light_ = {};
+  full_ = {};
+  if (ratio > kSlowedBy) {
+    next_raise_ = now + kSlowHold;
+    LowerTo(current_ - 1);
+  } else if (ratio < kSteadyBelow) {
+    next_raise_ = std::min(next_raise_, now);
   }
-  if (full) Raise(now);
 }
 
-void slot_limit::Lower(std::uint32_t limit, time_point now) {
-  const std::uint32_t lowered = std::max(1U, limit);
-  // Soon after a step up, the step was wrong: wait longer before the next.
-  hold_ = std::min(kLongestHold, hold_ * 2);
-  next_raise_ = now + hold_;
+void slot_limit::OnShed(std::uint32_t running, time_point now) {
+  assert(running > 0);
+  // Soon after another one, a step up was wrong: wait longer before the next.
+  const bool soon = now - last_shed_ < kLongestHold * 2;
+  hold_ = soon ? std::min(kLongestHold, hold_ * 2) : kFirstHold;
+  last_shed_ = now;
+  next_raise_ = std::max(next_raise_, now + hold_);
+  LowerTo(std::min(current_, running) - 1);
+}
+
+void slot_limit::LowerTo(std::uint32_t limit) {
+  current_ = std::min(current_, std::max(1U, limit));
   light_ = {};
   full_ = {};
-  current_ = std::min(current_, lowered);
 }
 
 void slot_limit::Raise(time_point now) {
--- a/src/admission/slot_limit.h
+++ b/src/admission/slot_limit.h
@@ -19,10 +19,10 @@
   // A run was shed while `running` were dispatched, itself among them.
   void OnShed(std::uint32_t running, time_point now);
 
-  // A run took `relative` times the usual time of its class. The counts were
-  // dispatched when it began and when it ended, itself among them.
-  void OnAnswer(double relative, std::uint32_t at_begin, std::uint32_t at_end,
-                time_point now);
+  // A run took `relative` times the usual time of its class. `running` were
+  // dispatched when it began, itself among them: how long a run takes does not
+  // bear on that, while it does on how many run at its end.
+  void OnAnswer(double relative, std::uint32_t running, time_point now);
 
   std::uint32_t current() const { return current_; }
 
@@ -32,18 +32,24 @@
     double sum = 0.0;
     std::uint32_t count = 0;
 
+    void Add(double time) {
+      sum += time;
+      ++count;
+    }
     double Mean() const { return count == 0 ? 0.0 : sum / count; }
   };
 
-  void Lower(std::uint32_t limit, time_point now);
+  void Compare(time_point now);
+  void LowerTo(std::uint32_t limit);
   void Raise(time_point now);
 
   std::uint32_t reported_;
   std::uint32_t current_;
-  mean_time light_;  // runs with at most half of the limit in use
-  mean_time full_;   // runs with the limit in use
+  mean_time light_;  // runs begun with at most half of the limit in use
+  mean_time full_;   // runs begun with the limit in use
   duration hold_;    // wait before the next step up
   time_point next_raise_{};
+  time_point last_shed_{};
 };
 
 }  // namespace tamaracklatch
--- a/src/request/request_server.cc
+++ b/src/request/request_server.cc
@@ -44,8 +44,9 @@
   time_point deadline;
   run_phase phase = run_phase::kQueued;
   std::uint32_t tries = 0;
-  attempt_id attempt;  // kRunning
-  time_point again;    // kPaused
+  bool may_have_run = false;  // an earlier try was lost
+  attempt_id attempt;         // kRunning
+  time_point again;           // kPaused
   std::vector<request_id> listeners;
   answer_buffer answer;
   std::optional<request_id> streamed_to;
@@ -132,15 +133,17 @@
     runs.erase(found);
   }
 
-  // Ends a run that is proven not to have run.
+  // Ends a run that is refused. It did not run, unless an earlier try was lost.
   void RefuseRun(request_id id, result_code code, duration retry_after,
                  const std::string& reason, time_point now) {
     run_state& run = runs.at(id);
+    const bool not_run = !run.may_have_run;
+    assert(not_run || !run.key);
     std::vector<request_id> waiting = run.listeners;
     if (run.key) waiting = owner.Refused(*run.key, code, now);
     DropRun(id);
     for (const request_id listener : waiting) {
-      Refuse(listener, code, true, retry_after, reason);
+      Refuse(listener, code, not_run, retry_after, reason);
     }
   }
 
@@ -306,7 +309,9 @@
 
   void LoseAttempt(request_id id, time_point now) {
     EndAttempt(id, run_outcome::kAbandoned, now);
-    const run_state& run = runs.at(id);
+    run_state& run = runs.at(id);
+    run.may_have_run = true;
+    run.may_pass = false;
     // Once a caller has part of an answer, another run would cross it.
     if (!run.answer.streamed() &&
         TryAgain(id, try_failure::kMayHaveRun, duration(0), now)) {
