Refuse wildcards where others are told an address

Cause: a balancer's listen_links and a list of control VMs may hold 0.0.0.0, which would send other nodes to themselves; a control VM told others its listening address instead of its voter's.

Change: both are faults, as is port 0 in the list of control VMs; a control VM tells the address of its voter's entry.

Conclusion: a control VM may listen at a wildcard, and nobody is told one.

--- a/include/tamaracklatch/daemon/settings.h
+++ b/include/tamaracklatch/daemon/settings.h
@@ -57,7 +57,8 @@
 
 struct controld_settings {
   process_settings process;
-  endpoint listen_links;  // TCP: other control VMs, relays and nodes
+  endpoint listen_links;  // TCP: other control VMs, relays and nodes; may be
+                          // a wildcard, others use the voter's entry
   endpoint listen_http;   // TCP: operators and metrics
   std::vector<voter_settings> voters;  // itself among them; an odd number
   std::vector<operator_settings> operators;
--- a/src/daemon/controld.cc
+++ b/src/daemon/controld.cc
@@ -28,7 +28,10 @@
   relay_settings result;
   result.self = {settings.process.name, frame.self().started};
   result.zone = settings.process.zone;
-  result.where = settings.listen_links;
+  // What others are told, also where the socket listens at a wildcard.
+  for (const voter_settings& voter : settings.voters) {
+    if (voter.name == settings.process.name) result.where = voter.links;
+  }
   result.is_source = true;
   return result;
 }
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -133,7 +133,7 @@
   result.process = ReadProcess(reader, false);
   result.listen_http = ReadRequiredEndpoint(reader, "listen_http");
   result.packets = ReadAnnouncedEndpoint(reader, "packets");
-  result.listen_links = ReadEndpointSetting(reader, "listen_links", false);
+  result.listen_links = ReadAnnouncedEndpoint(reader, "listen_links", false);
   result.encapsulated = ReadEndpointSetting(reader, "encapsulated", false);
   result.control = ReadControl(reader);
   result.flow_cache_entries = static_cast<std::uint32_t>(
--- a/src/daemon/settings_reader.cc
+++ b/src/daemon/settings_reader.cc
@@ -108,16 +108,21 @@
   return ReadEndpointSetting(reader, key, true).value_or(endpoint());
 }
 
-endpoint ReadAnnouncedEndpoint(checked_json* reader, const std::string& key) {
-  const auto where = ReadEndpointSetting(reader, key, true);
-  if (!where) return {};
-  if (IsWildcard(where->address)) {
+std::optional<endpoint> ReadAnnouncedEndpoint(checked_json* reader,
+                                              const std::string& key,
+                                              bool required) {
+  const auto where = ReadEndpointSetting(reader, key, required);
+  if (where && IsWildcard(where->address)) {
     reader->Fail(key, result_code::kDocumentOutOfRange,
                  fmt::format("\"{}\": others are told this address, so it "
                              "can't be a wildcard",
                              ToString(*where)));
   }
-  return *where;
+  return where;
+}
+
+endpoint ReadAnnouncedEndpoint(checked_json* reader, const std::string& key) {
+  return ReadAnnouncedEndpoint(reader, key, true).value_or(endpoint());
 }
 
 std::vector<endpoint> ReadControl(checked_json* reader) {
@@ -141,6 +146,10 @@
       reader->Fail(key, why.code, why.reason);
       continue;
     }
+    if (where->port == 0 || IsWildcard(where->address)) {
+      reader->Fail(key, result_code::kDocumentOutOfRange,
+                   fmt::format("\"{}\" is no place to connect to", texts[i]));
+    }
     if (std::find(result.begin(), result.end(), *where) != result.end()) {
       reader->Fail(key, result_code::kDocumentDuplicate,
                    fmt::format("\"{}\" is named twice", texts[i]));
--- a/src/daemon/settings_reader.h
+++ b/src/daemon/settings_reader.h
@@ -33,6 +33,11 @@
 
 // Like ReadEndpointSetting, for an endpoint that others are told: a wildcard
 // address is a fault.
+std::optional<endpoint> ReadAnnouncedEndpoint(checked_json* reader,
+                                              const std::string& key,
+                                              bool required);
+
+// The announced endpoint under the key; a zero one after a fault.
 endpoint ReadAnnouncedEndpoint(checked_json* reader, const std::string& key);
 
 // The endpoint under the key; a zero one after a fault.
