End a slot comparison early where chance is ruled out; the test has its 200 rounds again

Cause: the slot limit waited for 256 runs of each kind, so the test of a target with fewer slots than it reports had been given 1500 rounds in place of 200. Change: a comparison ends after 32 runs of each kind when the slowdown is beyond four standard errors. Before: 8 slots in use after 200 rounds (asserted 3 to 5).

--- a/src/admission/slot_limit.cc
+++ b/src/admission/slot_limit.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 
 namespace tamaracklatch {
 namespace {
@@ -12,7 +13,9 @@
 constexpr duration kLongestHold = std::chrono::seconds(60);
 // Without a new comparison, one that showed a slowdown counts for this long.
 constexpr duration kSlowHold = std::chrono::minutes(2);
-constexpr std::uint32_t kSamples = 256;  // of each kind before a comparison
+constexpr std::uint32_t kSamples = 256;    // of each kind that end a comparison
+constexpr std::uint32_t kFewSamples = 32;  // of each kind that may end it early
+constexpr double kSureErrors = 4.0;   // standard errors that rule out chance
 constexpr double kSteadyBelow = 1.2;  // full over light that allows a step up
 constexpr double kSlowedBy = 1.5;     // full over light that lowers the limit
 
@@ -37,9 +40,25 @@
   if (full) Raise(now);
 }
 
+double slot_limit::time_sample::RelativeError() const {
+  const double mean = Mean();
+  const double variance =
+      std::max(0.0, sum_of_squares / count - mean * mean) / count;
+  return std::sqrt(variance) / mean;
+}
+
+// Whether the slowdown is beyond what chance gives with the samples so far.
+bool slot_limit::IsSurelySlow(double ratio) const {
+  const double error =
+      ratio * std::hypot(full_.RelativeError(), light_.RelativeError());
+  return ratio - kSureErrors * error > kSlowedBy;
+}
+
 void slot_limit::Compare(time_point now) {
-  if (full_.count < kSamples || light_.count < kSamples) return;
+  const std::uint32_t fewest = std::min(full_.count, light_.count);
+  if (fewest < kFewSamples) return;
   const double ratio = full_.Mean() / light_.Mean();
+  if (fewest < kSamples && !IsSurelySlow(ratio)) return;
   // Each run counts in one comparison only, so that a chance streak passes.
   light_ = {};
   full_ = {};
--- a/src/admission/slot_limit.h
+++ b/src/admission/slot_limit.h
@@ -27,27 +27,32 @@
   std::uint32_t current() const { return current_; }
 
  private:
-  // Mean of relative times.
-  struct mean_time {
+  // Relative times of runs of one kind.
+  struct time_sample {
     double sum = 0.0;
+    double sum_of_squares = 0.0;
     std::uint32_t count = 0;
 
     void Add(double time) {
       sum += time;
+      sum_of_squares += time * time;
       ++count;
     }
-    double Mean() const { return count == 0 ? 0.0 : sum / count; }
+    double Mean() const { return sum / count; }
+    // Standard error of the mean, as a share of the mean.
+    double RelativeError() const;
   };
 
   void Compare(time_point now);
+  bool IsSurelySlow(double ratio) const;
   void LowerTo(std::uint32_t limit);
   void Raise(time_point now);
 
   std::uint32_t reported_;
   std::uint32_t current_;
-  mean_time light_;  // runs begun with at most half of the limit in use
-  mean_time full_;   // runs begun with the limit in use
-  duration hold_;    // wait before the next step up
+  time_sample light_;  // runs begun with at most half of the limit in use
+  time_sample full_;   // runs begun with the limit in use
+  duration hold_;      // wait before the next step up
   time_point next_raise_{};
   time_point last_shed_{};
 };
--- a/tests/admission/admission_queue_test.cc
+++ b/tests/admission/admission_queue_test.cc
@@ -193,7 +193,7 @@
   constexpr int kTrueSlots = 4;
   std::uint64_t next = 0;
   int now = 0;
-  for (int round = 0; round < 1500; ++round) {
+  for (int round = 0; round < 200; ++round) {
     // Mostly light load, and full load now and then.
     const std::uint64_t count = round % 10 != 0 ? 3 : 60;
     std::vector<request_id> ran;
