Mend what late messages, lost members and paused VMs break in the log

A learner is invited only into an accepted configuration, and a member that finds itself outside announces itself again. A voter that alone holds its own removal stands, and so does a learner that is asked for its vote by an older log; before, the log could stand still for ever. Nothing is due at most an hour ahead, so that no caller's timer overflows. make soak runs more schedules.

--- a/Makefile
+++ b/Makefile
@@ -16,5 +16,12 @@
 bench: build
 	$(BUILD)/bin/tamaracklatch-bench
 
+# make soak SEEDS=100000 FIRST=10001: more random schedules of the replicated log than continuous integration runs.
+SEEDS ?= 100000
+FIRST ?= 10001
+soak: build
+	cd tests && TAMARACKLATCH_SCHEDULES=$(SEEDS) TAMARACKLATCH_FIRST_SEED=$(FIRST) \
+	  ../$(BUILD)/tests/test-consensus --filter 'schedules/*' --jobs $$(nproc)
+
 format:
 	git ls-files '*.cc' '*.h' | xargs clang-format -i
--- a/include/tamaracklatch/consensus/consensus_message.h
+++ b/include/tamaracklatch/consensus/consensus_message.h
@@ -73,8 +73,12 @@
   bool installed = false;      // synced and restored
 };
 
-// A blank VM tells that it is there and belongs to no log.
-struct join_request {};
+// A blank VM tells that it is there and belongs to no log. `echo` is the nonce
+// of the receiver's last announcement, which proves that this one is newer.
+struct join_request {
+  std::uint64_t nonce = 0;
+  std::uint64_t echo = 0;  // 0: none heard
+};
 
 // Tells a blank member to which log it belongs. The configuration is that of
 // the founding, or empty.
--- a/include/tamaracklatch/consensus/consensus_node.h
+++ b/include/tamaracklatch/consensus/consensus_node.h
@@ -98,9 +98,12 @@
     revision index;
     std::uint64_t id = 0;
   };
-  struct blank_founder {
+  // A blank VM that announced itself to this blank one.
+  struct blank_peer {
     member_id id;
-    time_point heard;
+    std::uint64_t nonce = 0;   // of its last announcement
+    std::uint64_t echoed = 0;  // the announcement of this VM that it had heard
+    bool fresh = false;        // that was one of the last two
   };
   // A read that this leader must confirm, for itself or for a follower.
   struct pending_read {
@@ -134,13 +137,14 @@
   void On(const snapshot_chunk& body, const member_id& from);
   void On(const snapshot_reply& body, const member_id& from);
   void On(const join_request& body, const member_id& from);
-  void On(const log_exists& body, const member_id& from);
   void On(const read_request& body, const member_id& from);
   void On(const read_reply& body, const member_id& from);
   bool IsForThisMember(const consensus_message& message);
 
   // Founding and joining.
   void Announce();
+  std::set<vm_name> PeerNames() const;
+  time_point AnnounceDeadline() const;
   void FoundIfAllAreBlank();
   void JoinCluster(cluster_id cluster, const voter_configuration& founding);
   void AdmitBlank(const member_id& blank);
@@ -191,6 +195,7 @@
       const voter_configuration& configuration, const member_id& learner) const;
   void ProposeConfiguration(const voter_configuration& next);
   void ContinueVoterChanges();
+  bool HasCaughtUp(const member_id& learner) const;
   void MatchProgressToConfiguration();
 
   // Reads on a follower.
@@ -243,13 +248,15 @@
                                // the start counts as one, for what the past
                                // life may have promised
   time_point election_deadline_;
+  time_point called_until_;  // it may stand though it is no voter
   std::set<member_id> votes_;
   snapshot_receiver receiver_;
 
   // Blank only.
   time_point join_deadline_;
-  std::map<vm_name, member_id> blank_peers_;         // any heard of
-  std::map<vm_name, blank_founder> blank_founders_;  // that know this disk
+  std::map<vm_name, blank_peer> blank_peers_;
+  std::uint64_t nonce_ = 0;  // of the last announcement
+  std::uint64_t previous_nonce_ = 0;
   bool log_exists_ = false;  // some member said so: it must not found one
 
   // Leader only.
@@ -268,7 +275,8 @@
 
   // Reads through another leader, and the confirmation after a start.
   std::vector<forwarded_read> forwarded_;
-  std::uint64_t next_wire_id_ = 1;
+  std::uint64_t next_wire_id_;  // begins at random, so that an answer to a past
+                                // life is not taken for one to this
   time_point confirm_deadline_;
   bool confirmed_ = false;
 
--- a/include/tamaracklatch/consensus/consensus_settings.h
+++ b/include/tamaracklatch/consensus/consensus_settings.h
@@ -12,8 +12,8 @@
 struct consensus_settings {
   vm_name name;
 
-  // The VMs that found the log together, this one included. Founding needs all
-  // of them, blank. Empty: only ever join an existing log.
+  // The VMs that found the log together, this one included. Founding needs them
+  // and all peers to be there and blank. Empty: only ever join an existing log.
   std::vector<vm_name> founders;
   // Names to which a blank VM announces itself; founders are always among
   // them.
--- a/include/tamaracklatch/consensus/replicated_log.h
+++ b/include/tamaracklatch/consensus/replicated_log.h
@@ -54,6 +54,9 @@
   // The configuration in force at `index`.
   const voter_configuration& ConfigurationAt(revision index) const;
 
+  // Whether `id` votes in the configuration in force at `index` or any newer.
+  bool IsVoterSince(revision index, const member_id& id) const;
+
   std::size_t bytes() const { return bytes_; }
 
  private:
--- a/src/consensus/consensus_election.cc
+++ b/src/consensus/consensus_election.cc
@@ -7,6 +7,11 @@
 #include "tamaracklatch/consensus/consensus_node.h"
 
 namespace tamaracklatch {
+namespace {
+
+constexpr int kCallLasts = 4;  // election timeouts
+
+}  // namespace
 
 // Whether this member must not help another one to the lead: it answered a
 // leader, and within the election timeout that leader may count on it.
@@ -36,10 +41,10 @@
 }
 
 // A member that a change under way removes may be the only one to finish that
-// change, so it stands while the accepted configuration still has it.
+// change, so it stands until the removal is accepted. So may a learner that was
+// asked for its vote by one with an older log: nobody else can win without it.
 bool consensus_node::MayStand() const {
-  return log_.configuration().IsVoter(self_) ||
-         log_.ConfigurationAt(commit_).IsVoter(self_);
+  return now_ < called_until_ || log_.IsVoterSince(commit_, self_);
 }
 
 void consensus_node::StartPreVote() {
@@ -85,6 +90,10 @@
     return SendDurable(from, vote_reply{hard_.term, body.pre, false});
   }
   if (WithinLeaderPromise()) return;
+  if (!IsUpToDate(body) && !MayStand()) {
+    called_until_ = now_ + kCallLasts * settings_.election_timeout;
+    RetryElectionSoon();
+  }
   if (body.pre) {
     const bool granted = body.term > hard_.term && IsUpToDate(body);
     const log_term term = granted ? body.term : hard_.term;
--- a/src/consensus/consensus_membership.cc
+++ b/src/consensus/consensus_membership.cc
@@ -25,53 +25,77 @@
 
 // --- Blank members ---
 
-void consensus_node::Announce() {
-  join_deadline_ = now_ + settings_.join_interval;
+std::set<vm_name> consensus_node::PeerNames() const {
   std::set<vm_name> names(settings_.peers.begin(), settings_.peers.end());
   names.insert(settings_.founders.begin(), settings_.founders.end());
   names.erase(self_.name);
-  for (const vm_name& name : names) {
+  return names;
+}
+
+// A blank VM announces itself, and so does one that belongs to the log but
+// seems to be no member: it was removed, or the change that admitted it was
+// lost.
+time_point consensus_node::AnnounceDeadline() const {
+  if (role_ == consensus_role::kBlank) return join_deadline_;
+  if (MayStand()) return time_point::max();
+  return std::max(join_deadline_,
+                  leader_contact_ + 2 * settings_.election_timeout);
+}
+
+void consensus_node::Announce() {
+  join_deadline_ = now_ + settings_.join_interval;
+  const bool blank = role_ == consensus_role::kBlank;
+  if (blank) FoundIfAllAreBlank();
+  if (blank != (role_ == consensus_role::kBlank)) return;
+  previous_nonce_ = nonce_;
+  nonce_ = random_();
+  for (const vm_name& name : PeerNames()) {
+    // To any disk, for a peer may have lost its own since.
+    std::uint64_t echo = 0;
     const auto known = blank_peers_.find(name);
-    member_id to{name, {}};
-    if (known != blank_peers_.end()) to = known->second;
-    SendDurable(to, join_request{});
-    // A peer that lost its disk since is reached too.
-    if (to.disk.value != 0) SendDurable({name, {}}, join_request{});
+    if (known != blank_peers_.end()) echo = known->second.nonce;
+    SendDurable({name, {}}, join_request{nonce_, echo});
+  }
+  for (auto& [name, peer] : blank_peers_) {
+    if (peer.echoed != nonce_ && peer.echoed != previous_nonce_) {
+      peer.fresh = false;
+    }
   }
-  FoundIfAllAreBlank();
 }
 
-void consensus_node::On(const join_request& /*body*/, const member_id& from) {
+void consensus_node::On(const join_request& body, const member_id& from) {
   if (role_ != consensus_role::kBlank) return AdmitBlank(from);
-  const auto& founders = settings_.founders;
-  const bool founder =
-      std::find(founders.begin(), founders.end(), from.name) != founders.end();
-  if (!founder) return;
-  blank_peers_[from.name] = from;
-}
-
-void consensus_node::On(const log_exists& /*body*/, const member_id& /*from*/) {
-  log_exists_ = true;
+  if (PeerNames().count(from.name) == 0) return;
+  const bool fresh =
+      body.echo != 0 && (body.echo == nonce_ || body.echo == previous_nonce_);
+  blank_peer& peer = blank_peers_[from.name];
+  if (peer.id != from) peer = {from, 0, 0, false};
+  peer.nonce = body.nonce;
+  if (!fresh) return;
+  peer.echoed = body.echo;
+  peer.fresh = true;
 }
 
-// The first of the founders, by name, decides. Each member accepts one log in
-// its life, so that no two logs of these founders can both have a quorum.
+// The first of the founders, by name, decides, once all VMs that it knows of
+// have just said that they are blank. Each member accepts one log in its life,
+// so that no two logs of these founders can both have a quorum.
 void consensus_node::FoundIfAllAreBlank() {
   const std::vector<vm_name>& names = settings_.founders;
   if (names.empty() || log_exists_) return;
   if (*std::min_element(names.begin(), names.end()) != self_.name) return;
   voter_configuration founding;
-  for (const vm_name& name : std::set<vm_name>(names.begin(), names.end())) {
-    const auto found = blank_founders_.find(name);
-    if (name == self_.name) {
-      founding.voters.push_back({self_, {}});
-    } else if (found != blank_founders_.end() &&
-               now_ - found->second.heard < 2 * settings_.join_interval) {
-      founding.voters.push_back({found->second.id, {}});
-    } else {
-      return;
-    }
+  const std::set<vm_name> founders(names.begin(), names.end());
+  founding.voters.push_back({self_, {}});
+  for (const vm_name& name : PeerNames()) {
+    const auto found = blank_peers_.find(name);
+    if (found == blank_peers_.end() || !found->second.fresh) return;
+    if (founders.count(name) == 0) continue;
+    founding.voters.push_back({found->second.id, {}});
   }
+  std::sort(founding.voters.begin(), founding.voters.end(),
+            [](const cluster_member& left, const cluster_member& right) {
+              return left.id < right.id;
+            });
   cluster_id cluster;
   while (cluster.value == 0) cluster.value = random_();
   JoinCluster(cluster, founding);
@@ -216,18 +240,20 @@
   if (!MayChangeVoters()) return;
   const voter_configuration configuration = log_.configuration();
   for (const cluster_member& learner : configuration.learners) {
-    const auto found = progress_.find(learner.id);
-    if (found == progress_.end()) continue;
-    const bool caught_up =
-        found->second.match.value > 0 &&
-        found->second.match.value + settings_.promotion_gap >=
-            log_.last_index().value;
-    if (!caught_up) continue;
+    if (!HasCaughtUp(learner.id)) continue;
     const auto next = NextStepFor(configuration, learner.id);
     if (next) return ProposeConfiguration(*next);
   }
 }
 
+bool consensus_node::HasCaughtUp(const member_id& learner) const {
+  if (learner == self_) return true;
+  const auto found = progress_.find(learner);
+  if (found == progress_.end() || found->second.match.value == 0) return false;
+  return found->second.match.value + settings_.promotion_gap >=
+         log_.last_index().value;
+}
+
 std::optional<voter_configuration> consensus_node::NextStepFor(
     const voter_configuration& configuration, const member_id& learner) const {
   for (const cluster_member& voter : configuration.voters) {
--- a/src/consensus/consensus_message.cc
+++ b/src/consensus/consensus_message.cc
@@ -74,8 +74,10 @@
   writer->Flag(body.installed);
 }
 
-void WriteBody(wire_writer* writer, const join_request& /*body*/) {
-  writer->Array(0);
+void WriteBody(wire_writer* writer, const join_request& body) {
+  writer->Array(2);
+  writer->Number(body.nonce);
+  writer->Number(body.echo);
 }
 
 void WriteBody(wire_writer* writer, const join_invitation& body) {
@@ -171,7 +173,11 @@
   return true;
 }
 
-bool ReadBody(wire_reader* /*reader*/, join_request* /*body*/) { return true; }
+bool ReadBody(wire_reader* reader, join_request* body) {
+  body->nonce = reader->Number();
+  body->echo = reader->Number();
+  return true;
+}
 
 bool ReadBody(wire_reader* /*reader*/, log_exists* /*body*/) { return true; }
 
--- a/src/consensus/consensus_node.cc
+++ b/src/consensus/consensus_node.cc
@@ -13,6 +13,7 @@
 namespace tamaracklatch {
 namespace {
 
+constexpr std::chrono::hours kIdle{1};  // when nothing is due
 constexpr std::size_t kNoLimit = std::numeric_limits<std::size_t>::max();
 
 }  // namespace
@@ -42,10 +43,12 @@
       now_(now),
       hard_(std::move(stored.hard)),
       leader_contact_(now),
+      called_until_(now),
       receiver_(settings_.max_snapshot_bytes),
       join_deadline_(now),
       quorum_contact_(now),
       heartbeat_deadline_(now),
+      next_wire_id_(random_()),
       confirm_deadline_(now) {
   assert(settings_.heartbeat_interval < settings_.election_timeout);
   assert(settings_.lease_drift_margin > 0 && settings_.lease_drift_margin < 1);
@@ -125,6 +128,7 @@
     case consensus_role::kCandidate:
       ExpireForwardedReads();
       ConfirmStart();
+      if (AnnounceDeadline() <= now_) Announce();
       if (now_ >= election_deadline_) StartPreVote();
       return;
   }
@@ -134,8 +138,10 @@
   if (message.from == self_ || message.to.name != self_.name) return false;
   const bool announces = std::holds_alternative<join_request>(message.body);
   if (announces) {
-    return message.cluster.value == 0 &&
-           (message.to.disk.value == 0 || message.to == self_);
+    const bool foreign = message.cluster.value != 0 &&
+                         hard_.cluster.value != 0 &&
+                         message.cluster != hard_.cluster;
+    return !foreign && (message.to.disk.value == 0 || message.to == self_);
   }
   if (message.to != self_) return false;
   const bool for_blank =
@@ -158,18 +164,17 @@
   if (role_ == consensus_role::kStopped) return;
   const consensus_message& message = input.message;
   if (!IsForThisMember(message)) return;
+  const bool blank = role_ == consensus_role::kBlank;
+  if (blank && message.cluster.value != 0) log_exists_ = true;
   if (const auto* invitation = std::get_if<join_invitation>(&message.body)) {
     return JoinCluster(message.cluster, invitation->founding);
   }
-  const bool knows_this_disk =
-      std::holds_alternative<join_request>(message.body) && message.to == self_;
-  if (knows_this_disk && role_ == consensus_role::kBlank) {
-    blank_founders_[message.from.name] = {message.from, now_};
-  }
   std::visit(
       [&](const auto& body) {
         using body_type = std::decay_t<decltype(body)>;
-        if constexpr (!std::is_same_v<body_type, join_invitation>) {
+        // Those two did their work above.
+        if constexpr (!std::is_same_v<body_type, join_invitation> &&
+                      !std::is_same_v<body_type, log_exists>) {
           On(body, message.from);
         }
       },
@@ -233,7 +238,7 @@
 time_point consensus_node::NextDeadline() const {
   switch (role_) {
     case consensus_role::kStopped:
-      return time_point::max();
+      return now_ + kIdle;
     case consensus_role::kBlank:
       return join_deadline_;
     case consensus_role::kLeader:
@@ -243,8 +248,9 @@
     case consensus_role::kCandidate:
       break;
   }
-  time_point next = time_point::max();
+  time_point next = now_ + kIdle;
   if (MayStand()) next = election_deadline_;
+  next = std::min(next, AnnounceDeadline());
   if (!confirmed_ && leader_) next = std::min(next, confirm_deadline_);
   for (const forwarded_read& read : forwarded_) {
     next = std::min(next, read.deadline);
--- a/src/consensus/replicated_log.cc
+++ b/src/consensus/replicated_log.cc
@@ -109,6 +109,15 @@
   return configurations_.back().index;
 }
 
+bool replicated_log::IsVoterSince(revision index, const member_id& id) const {
+  const bool newer =
+      std::any_of(configurations_.begin(), configurations_.end(),
+                  [&](const placed_configuration& one) {
+                    return one.index > index && one.configuration.IsVoter(id);
+                  });
+  return newer || ConfigurationAt(index).IsVoter(id);
+}
+
 const voter_configuration& replicated_log::ConfigurationAt(
     revision index) const {
   const auto after = std::find_if(
--- a/tests/consensus/schedule_world.cc
+++ b/tests/consensus/schedule_world.cc
@@ -14,7 +14,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr std::size_t kVmsBesideVoters = 1;  // to be added and removed
+constexpr std::size_t kVmsBesideVoters = 2;  // to be added and removed
 constexpr duration kFastest = milliseconds(2);
 constexpr seconds kEndBound{240};  // for all VMs to agree once all is healed
 constexpr std::uint64_t kReadId = std::uint64_t{1} << 62U;
@@ -82,6 +82,7 @@
     world->proposed_.erase(found);
     if (outcome.code != result_code::kOk) return;
     ++world->acknowledged_count_;
+    world->acknowledged_now_ = true;
     auto& book = world->book_;
     book.acknowledged = std::max(book.acknowledged, outcome.index);
     if (command == 0) return;  // a voter change
@@ -127,6 +128,8 @@
   std::unique_ptr<consensus_runner> runner;  // none: it is down
   std::uint64_t life = 0;                    // counts starts
   std::optional<time_point> woken;           // the next wake-up in the queue
+  std::optional<member_id> last_vote;
+  time_point paused_until;  // it is up, but its process does not run
   // What a VM that is down had.
   member_id last_self;
   voter_configuration last_configuration;
@@ -155,7 +158,8 @@
 
 schedule_world::schedule_world(std::uint64_t seed, std::size_t voters,
                                bool traced)
-    : seed_(seed), random_(seed), traced_(traced), voters_(voters) {
+    : random_(seed), traced_(traced), voters_(voters) {
+  kind_ = static_cast<schedule_kind>(Draw(4));
   settings_.election_timeout = DrawBetween(milliseconds(800), seconds(3));
   settings_.heartbeat_interval =
       settings_.election_timeout / static_cast<int>(3 + Draw(3));
@@ -171,6 +175,14 @@
   slowest_ = DrawBetween(milliseconds(5), settings_.election_timeout / 6);
   loss_percent_ = Draw(4) == 0 ? Draw(30) : Draw(3);
   repeat_percent_ = Draw(10);
+  if (kind_ == schedule_kind::kStorm) {
+    slowest_ = DrawBetween(slowest_, settings_.election_timeout);
+    late_percent_ = Draw(30);
+  }
+  if (kind_ == schedule_kind::kStale) {
+    slowest_ = DrawBetween(milliseconds(4), milliseconds(30));
+    loss_percent_ = 0;
+  }
   end_of_faults_ = now_ + DrawBetween(seconds(20), seconds(60));
   for (std::size_t i = 0; i < voters + kVmsBesideVoters; ++i) {
     const vm_name name(1, static_cast<char>('a' + i));
@@ -231,7 +243,9 @@
     what.from = from;
     what.message = shared;
     // Each message has a delay of its own, so that they overtake each other.
-    Push(now_ + DrawBetween(kFastest, slowest_), std::move(what));
+    const duration slowest =
+        Chance(late_percent_) ? 4 * settings_.election_timeout : slowest_;
+    Push(now_ + DrawBetween(kFastest, slowest), std::move(what));
   }
 }
 
@@ -257,13 +271,45 @@
     return Crash(index);
   }
   LoseAnotherAfterRepair(index);
+  if (one.runner) CrashAfterVote(index);
   if (one.runner) Wake(index);
+  if (acknowledged_now_) AskOldLeaders();
+}
+
+// A crash between a vote and all that comes after it.
+void schedule_world::CrashAfterVote(std::size_t index) {
+  vm& one = *vms_[index];
+  const hard_state& hard = one.disk.durable.hard;
+  if (hard.vote == one.last_vote || !hard.vote) return;
+  one.last_vote = hard.vote;
+  const bool foreign = *hard.vote != one.runner->node().self();
+  if (healed_ || kind_ != schedule_kind::kStorm) return;
+  if (foreign && Chance(30)) Crash(index);
+  if (!foreign && Chance(30)) Pause(index);
+}
+
+void schedule_world::Pause(std::size_t index) {
+  vm& one = *vms_[index];
+  one.paused_until =
+      now_ + DrawBetween(milliseconds(100), 4 * settings_.election_timeout);
+  Trace(one.name + " is paused");
+}
+
+// Whoever still believes that it leads is asked for what was just accepted.
+void schedule_world::AskOldLeaders() {
+  acknowledged_now_ = false;
+  for (std::size_t i = 0; i < vms_.size(); ++i) {
+    const auto& runner = vms_[i]->runner;
+    if (!runner || runner->node().role() != consensus_role::kLeader) continue;
+    if (Leader() == i) continue;
+    Read(i);
+    Settle(i);
+  }
 }
 
 void schedule_world::Wake(std::size_t index) {
   vm& one = *vms_[index];
   const time_point local = one.runner->NextDeadline();
-  if (local == time_point::max()) return;
   const time_point when = std::max(WorldTime(one, local), now_);
   const bool pending = one.woken && *one.woken <= when;
   if (pending) return;
@@ -326,7 +372,10 @@
   happening what;
   what.what = happening::kind::kStart;
   what.to = index;
-  const duration longest = Chance(20) ? seconds(30) : seconds(3);
+  const bool quick =
+      kind_ == schedule_kind::kStorm || kind_ == schedule_kind::kStale;
+  duration longest = Chance(20) ? seconds(30) : seconds(3);
+  if (quick && !Chance(10)) longest = milliseconds(100);
   Push(now_ + DrawBetween(milliseconds(10), longest), std::move(what));
 }
 
@@ -467,7 +516,13 @@
 void schedule_world::FaultStep() {
   const std::size_t index = Chance(40) ? Leader().value_or(PickVm()) : PickVm();
   vm& one = *vms_[index];
-  switch (Draw(8)) {
+  if (kind_ == schedule_kind::kChurn && Chance(60)) return ChangeVoters();
+  if (kind_ == schedule_kind::kStale && Chance(60)) {
+    return Chance(30) ? Cut() : Crash(PickVm());
+  }
+  switch (Draw(9)) {
+    case 8:
+      return Pause(index);
     case 0:
       return Crash(index);
     case 1:
@@ -489,14 +544,17 @@
 
 void schedule_world::Cut() {
   const std::size_t index = Chance(50) ? Leader().value_or(PickVm()) : PickVm();
-  const std::uint64_t shape = Draw(3);
+  const std::uint64_t shape =
+      kind_ == schedule_kind::kStale && Chance(70) ? 3 : Draw(4);
+  const std::size_t other = PickVm();
   const std::uint64_t side = 1 + Draw((1U << vms_.size()) - 2);
   for (std::size_t from = 0; from < vms_.size(); ++from) {
     for (std::size_t to = 0; to < vms_.size(); ++to) {
       const bool across = ((side >> from) & 1U) != ((side >> to) & 1U);
       const bool cut = shape == 0   ? across
                        : shape == 1 ? from == index  // it is not heard
-                                    : to == index;   // it hears nobody
+                       : shape == 2 ? to == index    // it hears nobody
+                                    : from == index && to == other;
       if (cut && from != to) cut_.insert({from, to});
     }
   }
@@ -545,12 +603,19 @@
 
 void schedule_world::Happen(const happening& what) {
   using kind = happening::kind;
+  const bool for_process =
+      what.what == kind::kMessage || what.what == kind::kWake;
+  const time_point paused_until = vms_[what.to]->paused_until;
+  if (for_process && now_ < paused_until) {
+    // What waits for the process comes in any order.
+    return Push(paused_until + DrawBetween({}, milliseconds(1)), what);
+  }
   switch (what.what) {
     case kind::kMessage:
       return Deliver(what);
     case kind::kWake:
       if (vms_[what.to]->life != what.life) return;
-      if (vms_[what.to]->woken == what.when) vms_[what.to]->woken.reset();
+      if (vms_[what.to]->woken <= what.when) vms_[what.to]->woken.reset();
       return Input(what.to, timer_due{});
     case kind::kStart:
       return Start(what.to);
@@ -560,13 +625,17 @@
     case kind::kClient:
       if (!healed_) {
         ClientStep();
-        Push(now_ + DrawBetween(milliseconds(50), seconds(2)), what);
+        const bool stale = kind_ == schedule_kind::kStale;
+        const duration longest = stale ? milliseconds(600) : seconds(2);
+        Push(now_ + DrawBetween(milliseconds(20), longest), what);
       }
       return;
     case kind::kFault:
       if (!healed_) {
         FaultStep();
-        Push(now_ + DrawBetween(milliseconds(300), seconds(8)), what);
+        const bool often = kind_ != schedule_kind::kMixed;
+        const duration longest = often ? seconds(3) : seconds(8);
+        Push(now_ + DrawBetween(milliseconds(100), longest), what);
       }
       return;
   }
@@ -577,6 +646,9 @@
   Trace("healed");
   cut_.clear();
   loss_percent_ = 0;
+  // An election needs messages that are fast against its timeout.
+  slowest_ = std::min(slowest_, settings_.election_timeout / 6);
+  late_percent_ = 0;
   for (std::size_t i = 0; i < vms_.size(); ++i) {
     if (vms_[i]->runner) vms_[i]->storage->SetFault(disk_fault::kNone);
     Start(i);
@@ -629,13 +701,19 @@
 void schedule_world::TraceStatus(const vm& one) {
   if (!one.runner) return Trace(one.name + " is down");
   const consensus_status status = one.runner->node().Status();
+  std::string voters;
+  for (const cluster_member& voter : status.configuration.voters) {
+    voters +=
+        fmt::format(" {}:{:04x}{}", voter.id.name, voter.id.disk.value >> 48U,
+                    IsAlive(voter.id) ? "" : "(lost)");
+  }
   Trace(fmt::format(
-      "{}:{:016x} is {} in term {}, knows leader {}, applied {} of {}, last "
-      "{}, voter {}, confirmed {}",
-      one.name, status.self.disk.value, ToString(status.role),
+      "{}:{:04x} is {} in term {}, knows leader {}, applied {} of {}, last {}, "
+      "confirmed {}, voters{}",
+      one.name, status.self.disk.value >> 48U, ToString(status.role),
       status.term.value, status.leader ? status.leader->name : "none",
       status.applied.value, status.commit.value, status.last_index.value,
-      status.configuration.IsVoter(status.self), status.confirmed));
+      status.confirmed, voters));
 }
 
 std::string schedule_world::Run() {
--- a/tests/consensus/schedule_world.h
+++ b/tests/consensus/schedule_world.h
@@ -17,6 +17,14 @@
 
 namespace tamaracklatch::test {
 
+// What a schedule is made to hunt for.
+enum class schedule_kind : std::uint8_t {
+  kMixed,  // all faults alike
+  kStorm,  // elections: late messages, crashes right after a vote
+  kStale,  // old leaders: single links cut, quick restarts
+  kChurn,  // changes of voters
+};
+
 // What any VM applied first at an index; all others must agree.
 struct accepted_command {
   std::uint64_t command = 0;  // its hash, 0: none known
@@ -92,6 +100,8 @@
 
   void Start(std::size_t index);
   void Crash(std::size_t index);
+  void CrashAfterVote(std::size_t index);
+  void Pause(std::size_t index);
   void LoseDisk(std::size_t index);
   bool MayLoseDisk(std::size_t index) const;
   bool IsAlive(const member_id& id) const;
@@ -101,6 +111,7 @@
   void ClientStep();
   void Propose(std::size_t index);
   void Read(std::size_t index);
+  void AskOldLeaders();
   void FaultStep();
   void Cut();
   void ChangeVoters();
@@ -108,7 +119,7 @@
   void Heal();
   void CheckEnd();
 
-  std::uint64_t seed_;
+  schedule_kind kind_ = schedule_kind::kMixed;
   random_source random_;
   bool traced_;
   std::size_t voters_;
@@ -123,6 +134,7 @@
   std::set<std::pair<std::size_t, std::size_t>> cut_;  // from, to
   std::uint64_t loss_percent_ = 0;
   std::uint64_t repeat_percent_ = 0;
+  std::uint64_t late_percent_ = 0;  // messages that take far longer
   duration slowest_{};
   promise_book book_;
   std::map<std::uint64_t, std::uint64_t> proposed_;  // id to command hash
@@ -131,6 +143,7 @@
   std::uint64_t acknowledged_count_ = 0;
   std::uint64_t disks_lost_ = 0;
   bool repair_watched_ = false;
+  bool acknowledged_now_ = false;  // by the input at hand
   std::vector<std::string> timeline_;
 };
 
