--- a/include/tamaracklatch/distribution/child_table.h
+++ b/include/tamaracklatch/distribution/child_table.h
@@ -18,6 +18,7 @@
   relay_contact contact;
   std::string service;  // only this service's changes; empty: all
   bool only_reports = false;
+  std::uint64_t last_pull = 0;      // its number
   revision known;                   // acknowledged
   std::optional<revision> sent_to;  // sent, not yet acknowledged
   std::uint32_t tries = 0;          // of what was sent
--- a/include/tamaracklatch/distribution/relay_messages.h
+++ b/include/tamaracklatch/distribution/relay_messages.h
@@ -79,6 +79,7 @@
 
 // Child to parent: what I have, what I want, what those below me have.
 struct pull {
+  std::uint64_t number = 0;  // rises; answers repeat it
   node_identity node;
   // Present until the parent has answered, and on change.
   std::optional<relay_contact> contact;
@@ -107,6 +108,7 @@
 // Parent to child: the changes above `from` up to `to`; none may be missing
 // between.
 struct delta {
+  std::uint64_t answers = 0;  // the newest pull received from this child
   revision from;
   revision to;
   revision newest;  // the parent's own; above `to` when more is to be pulled
@@ -120,6 +122,7 @@
 // Parent to child: the next part of a snapshot. The changes in `catch_up` bring
 // the part received so far to `position.at` first.
 struct snapshot_part {
+  std::uint64_t answers = 0;   // as in delta
   bool restarts = false;       // drop what was received before
   snapshot_position from;      // continues from here
   snapshot_position position;  // after this part
--- a/include/tamaracklatch/distribution/relay_node.h
+++ b/include/tamaracklatch/distribution/relay_node.h
@@ -158,7 +158,7 @@
   void PullForNews(time_point now);
   void SeekRevision(revision seen, const relay_contact* who, time_point now);
   void SendPull(time_point now);
-  void OnParentAnswered(duration age, time_point now);
+  void OnParentAnswered(std::uint64_t answers, duration age, time_point now);
   void WatchParent(time_point now);
   void ChooseParent(time_point now);
   void AttachTo(const relay_contact& parent, time_point now);
@@ -186,7 +186,8 @@
   time_point parent_since_;
   bool parent_answered_ = false;
   std::uint64_t parent_names_ = 0;  // sum of the names that it holds for us
-  bool awaits_answer_ = false;
+  std::uint64_t pull_number_ = 0;
+  bool awaits_answer_ = false;  // to the pull of that number
   time_point answer_due_;
   std::uint32_t tries_ = 0;
   std::uint32_t failed_parents_ = 0;  // in a row
--- a/include/tamaracklatch/distribution/relay_settings.h
+++ b/include/tamaracklatch/distribution/relay_settings.h
@@ -23,23 +23,24 @@
 
   // Children: nodes that may relay themselves (at a source: of each zone), and
   // target daemons.
-  std::size_t max_relays = 4;
+  std::size_t max_relays = 3;
   std::size_t max_leaves = 32;
 
   std::size_t log_bytes = 4 * 1024 * 1024;  // encoded changes kept for children
-  std::size_t part_bytes = 16 * 1024;       // of one delta or snapshot part
+  std::size_t part_bytes = 64 * 1024;       // of one delta or snapshot part
 
   duration batch_interval = std::chrono::milliseconds(50);
   duration acknowledge_delay = std::chrono::milliseconds(100);
-  duration retry_interval = std::chrono::milliseconds(300);
-  duration idle_interval = std::chrono::seconds(5);
+  duration retry_interval = std::chrono::milliseconds(250);
+  // News ages by up to this at each level of the tree while nothing changes.
+  duration idle_interval = std::chrono::seconds(2);
   // A child whose service did not change hears of a new revision this late.
   duration unconcerned_interval = std::chrono::seconds(1);
   // A parent that left this many pulls unanswered is given up.
   std::uint32_t max_tries = 8;
   duration child_silence = std::chrono::seconds(15);
   // A parent whose news is older than this is given up.
-  duration max_age = std::chrono::seconds(20);
+  duration max_age = std::chrono::seconds(25);
   // The names of nodes are reported once they have not changed for this long.
   duration names_settle = std::chrono::milliseconds(500);
   // A graceful stop is reported for this long.
--- a/src/distribution/relay_messages.cc
+++ b/src/distribution/relay_messages.cc
@@ -183,7 +183,8 @@
     const std::size_t optional_parts = (message.contact ? 1 : 0) +
                                        (message.snapshot ? 1 : 0) +
                                        (message.names ? 1 : 0);
-    Start(message_kind::kPull, 7 + optional_parts);
+    Start(message_kind::kPull, 8 + optional_parts);
+    writer_->Number(message.number);
     Write(writer_, message.node);
     writer_->Text(message.service);
     writer_->Write(message.known);
@@ -196,7 +197,8 @@
   }
 
   void operator()(const delta& message) const {
-    Start(message_kind::kDelta, 6);
+    Start(message_kind::kDelta, 7);
+    writer_->Number(message.answers);
     writer_->Write(message.from);
     writer_->Write(message.to);
     writer_->Write(message.newest);
@@ -206,7 +208,8 @@
   }
 
   void operator()(const snapshot_part& message) const {
-    Start(message_kind::kSnapshotPart, 7);
+    Start(message_kind::kSnapshotPart, 8);
+    writer_->Number(message.answers);
     writer_->Flag(message.restarts);
     Write(writer_, message.from);
     Write(writer_, message.position);
@@ -245,6 +248,7 @@
 
 pull ReadPull(wire_reader* reader) {
   pull message;
+  message.number = reader->Number();
   message.node = ReadIdentity(reader);
   message.service = reader->Text();
   reader->Read(&message.known);
@@ -262,6 +266,7 @@
 
 delta ReadDelta(wire_reader* reader) {
   delta message;
+  message.answers = reader->Number();
   reader->Read(&message.from);
   reader->Read(&message.to);
   reader->Read(&message.newest);
@@ -273,6 +278,7 @@
 
 snapshot_part ReadSnapshotPart(wire_reader* reader) {
   snapshot_part message;
+  message.answers = reader->Number();
   message.restarts = reader->Flag();
   message.from = ReadPosition(reader);
   message.position = ReadPosition(reader);
--- a/src/distribution/relay_node.cc
+++ b/src/distribution/relay_node.cc
@@ -189,8 +189,13 @@
   if (child == nullptr) {
     // Without its contact the child is asked for it by an empty delta.
     if (!message.contact) {
-      Send(peer, {},
-           delta{message.known, message.known, message.known, 0, Age(now), {}});
+      delta unknown;
+      unknown.answers = message.number;
+      unknown.from = message.known;
+      unknown.to = message.known;
+      unknown.newest = message.known;
+      unknown.age = Age(now);
+      Send(peer, {}, std::move(unknown));
       return;
     }
     Send(peer, message.contact->where,
@@ -205,6 +210,8 @@
 void relay_node::UpdateChild(const pull& message, child_state* child,
                              time_point now) {
   child->last_heard = now;
+  if (message.number < child->last_pull) return;  // it was overtaken
+  child->last_pull = message.number;
   child->only_reports = message.only_reports;
   child->service = message.service;
   child->snapshot = message.snapshot;
@@ -237,6 +244,7 @@
   snapshot_part part = NextSnapshotPart(
       view_, log_, FilterOf(*child),
       child->snapshot.value_or(snapshot_position{}), settings_.part_bytes);
+  part.answers = child->last_pull;
   part.age = Age(now);
   child->last_sent = now;
   child->sent_to.reset();
@@ -245,6 +253,7 @@
 
 void relay_node::SendDelta(child_state* child, time_point now) {
   delta message;
+  message.answers = child->last_pull;
   message.from = child->known;
   message.to = child->known;
   message.newest = known_;
@@ -267,19 +276,24 @@
 time_point relay_node::DueAt(const child_state& child) const {
   const bool up_to_date = child.only_reports || child.known >= known_;
   if (up_to_date || child.known < log_.floor()) return time_point::max();
-  if (child.AwaitsAcknowledgment()) {
-    if (child.tries >= kMaxDeltaTries) return time_point::max();
-    return child.last_sent + settings_.retry_interval;
-  }
   const bool wanted = child.service.empty() || child.concerned;
-  return child.last_sent +
-         (wanted ? settings_.batch_interval : settings_.unconcerned_interval);
+  const time_point fresh_due =
+      child.last_sent +
+      (wanted ? settings_.batch_interval : settings_.unconcerned_interval);
+  if (!child.AwaitsAcknowledgment()) return fresh_due;
+  const time_point retry_due = child.tries < kMaxDeltaTries
+                                   ? child.last_sent + settings_.retry_interval
+                                   : time_point::max();
+  // Newer changes do not wait for the acknowledgment of earlier ones.
+  return *child.sent_to < known_ ? std::min(fresh_due, retry_due) : retry_due;
 }
 
 void relay_node::ServeChildren(time_point now) {
   for (auto& [name, child] : children_.all()) {
     if (DueAt(child) > now) continue;
-    child.tries = child.AwaitsAcknowledgment() ? child.tries + 1 : 0;
+    const bool is_retry =
+        child.AwaitsAcknowledgment() && *child.sent_to >= known_;
+    child.tries = is_retry ? child.tries + 1 : 0;
     SendDelta(&child, now);
   }
 }
@@ -355,6 +369,7 @@
 
 void relay_node::SendPull(time_point now) {
   pull message;
+  message.number = ++pull_number_;
   message.node = settings_.self;
   message.service = settings_.service;
   message.known = known_;
@@ -432,8 +447,10 @@
   Report(event_id::kParentChanged, parent.name, "");
 }
 
-void relay_node::OnParentAnswered(duration age, time_point now) {
-  awaits_answer_ = false;
+void relay_node::OnParentAnswered(std::uint64_t answers, duration age,
+                                  time_point now) {
+  // What the last pull reports is only known to be received by its own answer.
+  if (answers == pull_number_) awaits_answer_ = false;
   parent_answered_ = true;
   tries_ = 0;
   failed_parents_ = 0;
@@ -476,7 +493,7 @@
   const bool had_part = message.known_names != names_.sum();
   parent_names_ = message.known_names;
   names_.OnAnswered(message.known_names);
-  OnParentAnswered(message.age, now);
+  OnParentAnswered(message.answers, message.age, now);
   if (settings_.is_source || message.newest <= known_) {
     if (had_part) SchedulePull(now + settings_.names_settle);
     return;
@@ -516,7 +533,7 @@
 void relay_node::Handle(const std::string& peer, const snapshot_part& message,
                         time_point now) {
   if (settings_.is_source || !parent_ || parent_->name != peer) return;
-  OnParentAnswered(message.age, now);
+  OnParentAnswered(message.answers, message.age, now);
   if (!snapshot_) snapshot_.emplace();
   snapshot_->OnPart(message);
   SchedulePull(now);
--- a/tests/distribution/relay_node_test.cc
+++ b/tests/distribution/relay_node_test.cc
@@ -340,6 +340,21 @@
   cr_expect(restarted.node->known().value == 1);
 }
 
+Test(distribution, a_quiet_tree_keeps_its_parents) {
+  test::network_settings network;
+  network.loss = 0.02;
+  distribution_fixture cluster(network);
+  cluster.AddNodes(150);
+  cluster.net.RunFor(seconds(60));
+  int moves = 0;
+  cluster.net.on_action = [&moves](const auto&, const relay_action& action) {
+    const auto* told = std::get_if<relay_event>(&action);
+    if (told != nullptr && told->what.id == event_id::kParentChanged) ++moves;
+  };
+  cluster.net.RunFor(seconds(300));
+  cr_expect(moves == 0, "%d moves", moves);
+}
+
 Test(distribution, arbitrary_bytes_are_no_message) {
   test::CheckProperty("arbitrary bytes", [](const std::string& bytes) {
     const auto message = DecodeRelayMessage(bytes);
