--- a/tests/distribution/relay_node_test.cc
+++ b/tests/distribution/relay_node_test.cc
@@ -340,6 +340,46 @@
   cr_expect(restarted.node->known().value == 1);
 }
 
+Test(distribution, nodes_that_are_not_sure_confirm_nothing) {
+  distribution_fixture cluster({});
+  cluster.AddNodes(6);
+  cluster.Change();
+  cluster.net.RunFor(seconds(5));
+  for (int i = 0; i < 3; ++i) cluster.net.Stop("control-" + std::to_string(i));
+  for (const std::string& name : cluster.nodes) {
+    auto& settings = cluster.net.At(name).settings;
+    for (const std::string& peer : cluster.nodes) {
+      const auto& other = cluster.net.At(peer).settings;
+      settings.peers.push_back({peer, other.zone, other.where, 0});
+    }
+    cluster.net.Stop(name);
+  }
+  for (const std::string& name : cluster.nodes) cluster.net.Start(name);
+  cluster.net.RunFor(seconds(60));
+  for (const std::string& name : cluster.nodes)
+    cr_expect(!cluster.net.At(name).node->may_serve(), "%s", name.c_str());
+}
+
+Test(distribution, bounded_sums_never_count_a_node_too_high) {
+  test::CheckProperty("bounded sums", []() {
+    const auto revisions = *rc::gen::container<std::vector<std::uint64_t>>(
+        rc::gen::inRange<std::uint64_t>(1, 40));
+    std::vector<progress> sum;
+    for (std::size_t i = 0; i < revisions.size(); ++i)
+      AddProgress({{revision{revisions[i]}, 1, i + 1}}, &sum);
+    BoundProgress(&sum);
+    RC_ASSERT(sum.size() <= kMaxProgressEntries);
+    RC_ASSERT(AppliedAtLeast(sum, revision{1}).nodes == revisions.size());
+    for (std::uint64_t at = 1; at <= 40; ++at) {
+      const auto able =
+          std::count_if(revisions.begin(), revisions.end(),
+                        [&](std::uint64_t one) { return one >= at; });
+      RC_ASSERT(AppliedAtLeast(sum, revision{at}).nodes <=
+                static_cast<std::size_t>(able));
+    }
+  });
+}
+
 Test(distribution, a_quiet_tree_keeps_its_parents) {
   test::network_settings network;
   network.loss = 0.02;
