Share one UDP port and one start of daemons

Cause: three daemons read their settings in the same lines, and two sockets received datagrams in the same loop. Change: udp_port serves envelopes, datagram addresses and encapsulated packets; RunDaemonProgram starts each daemon. Conclusion: one place for each.

--- a/programs/tamaracklatch_targetd.cc
+++ b/programs/tamaracklatch_targetd.cc
@@ -1,9 +1,7 @@
 // The program tamaracklatch-targetd: reads its settings and runs the daemon.
-#include <fmt/format.h>
 #include <gflags/gflags.h>
 
-#include <vector>
-
+#include "daemon_program.h"
 #include "tamaracklatch/daemon/daemons.h"
 
 // The flag macros define names that the linter does not know.
@@ -31,12 +29,7 @@
 int main(int argc, char** argv) {
   gflags::SetUsageMessage(kUsage);
   gflags::ParseCommandLineFlags(&argc, &argv, true);
-  std::vector<tamaracklatch::failure> failures;
-  const auto settings =
-      tamaracklatch::LoadTargetdSettings(FLAGS_settings, &failures);
-  for (const auto& fault : failures)
-    fmt::print(stderr, "{}: {}\n", FLAGS_settings,
-               tamaracklatch::ToString(fault));
-  if (!settings) return 2;
-  return tamaracklatch::RunTargetd(*settings);
+  return tamaracklatch::RunDaemonProgram(FLAGS_settings,
+                                         tamaracklatch::LoadTargetdSettings,
+                                         tamaracklatch::RunTargetd);
 }
--- a/src/daemon/balancer_ports.cc
+++ b/src/daemon/balancer_ports.cc
@@ -5,14 +5,11 @@
 
 #include <set>
 
-#include "daemon/envelope_socket.h"
 #include "transport/link.h"
 
 namespace tamaracklatch {
 namespace {
 
-constexpr int kMaxPacketsPerWakeup =
-    64;  // before other work of the loop gets its turn
 constexpr int kAcceptBacklog = 1024;  // connections
 
 flow_key KeyOf(const endpoint& caller, const endpoint& service,
@@ -22,39 +19,6 @@
 
 }  // namespace
 
-datagram_port::datagram_port(asio::io_context* loop, const endpoint& where,
-                             port_listener* listener)
-    : socket_(*loop), where_(where), listener_(listener) {}
-
-bool datagram_port::Start(failure* last_failure) {
-  if (!OpenUdp(&socket_, where_, true, last_failure)) return false;
-  Receive();
-  return true;
-}
-
-void datagram_port::Send(const endpoint& caller, std::string_view bytes) {
-  asio::error_code ignored;
-  socket_.send_to(asio::buffer(bytes.data(), bytes.size()), ToUdp(caller), 0,
-                  ignored);
-}
-
-void datagram_port::Receive() {
-  socket_.async_wait(
-      asio::ip::udp::socket::wait_read, [this](asio::error_code error) {
-        if (error) return;
-        for (int i = 0; i < kMaxPacketsPerWakeup; ++i) {
-          asio::error_code empty;
-          const std::size_t size =
-              socket_.receive_from(asio::buffer(buffer_), from_, 0, empty);
-          if (empty) break;
-          listener_->OnDatagram(
-              KeyOf(FromUdp(from_), where_, ip_protocol::kUdp),
-              {buffer_.data(), size});
-        }
-        Receive();
-      });
-}
-
 connection_port::connection_port(asio::io_context* loop, const endpoint& where,
                                  port_listener* listener)
     : loop_(loop), acceptor_(*loop), where_(where), listener_(listener) {}
@@ -126,9 +90,13 @@
   failure why;
   if (address.kind == port_kind::kUdpDatagram &&
       datagrams_.count(address.where) == 0) {
-    auto port = std::make_unique<datagram_port>(&frame_->loop(), address.where,
-                                                listener_);
-    if (port->Start(&why)) datagrams_[address.where] = std::move(port);
+    auto port = std::make_unique<udp_port>(
+        &frame_->loop(), [this, where = address.where](const endpoint& caller,
+                                                       std::string_view bytes) {
+          listener_->OnDatagram(KeyOf(caller, where, ip_protocol::kUdp), bytes);
+        });
+    if (port->Start(address.where, port_sharing::kShared, &why))
+      datagrams_[address.where] = std::move(port);
   }
   if (address.kind == port_kind::kTcpRelay && accepts_connections_ &&
       connections_.count(address.where) == 0) {
--- a/src/daemon/balancer_ports.h
+++ b/src/daemon/balancer_ports.h
@@ -2,7 +2,6 @@
 // UDP sockets and TCP acceptors, opened and closed as the documents say.
 #pragma once
 
-#include <array>
 #include <asio.hpp>
 #include <functional>
 #include <map>
@@ -10,6 +9,7 @@
 #include <string>
 
 #include "daemon/process_frame.h"
+#include "daemon/udp_port.h"
 #include "tamaracklatch/control/cluster_view.h"
 
 namespace tamaracklatch {
@@ -23,25 +23,6 @@
                             asio::ip::tcp::socket socket) = 0;
 };
 
-// One UDP address of a service. Received bytes are handed out in turn.
-class datagram_port {
- public:
-  datagram_port(asio::io_context* loop, const endpoint& where,
-                port_listener* listener);
-  bool Start(failure* last_failure);
-  // Sends to a caller from the service's address.
-  void Send(const endpoint& caller, std::string_view bytes);
-
- private:
-  void Receive();
-
-  asio::ip::udp::socket socket_;
-  endpoint where_;
-  port_listener* listener_;
-  std::array<char, 65536> buffer_{};
-  asio::ip::udp::endpoint from_;
-};
-
 // One TCP address of a service.
 class connection_port {
  public:
@@ -81,7 +62,7 @@
 
   process_frame* frame_;
   port_listener* listener_;
-  std::map<endpoint, std::unique_ptr<datagram_port>> datagrams_;
+  std::map<endpoint, std::unique_ptr<udp_port>> datagrams_;
   std::map<endpoint, std::unique_ptr<connection_port>> connections_;
   bool accepts_connections_ = true;
 };
--- a/src/daemon/balancerd.cc
+++ b/src/daemon/balancerd.cc
@@ -43,7 +43,10 @@
         ports_(&frame_, this),
         relay_(&frame_, envelopes_.key(),
                [this](const flow_key& key) { return RouteConnection(key); }),
-        encapsulated_(frame_.loop()) {}
+        encapsulated_(&frame_.loop(),
+                      [this](const endpoint&, std::string_view bytes) {
+                        OnEncapsulated(bytes);
+                      }) {}
 
   int Run() {
     failure why;
@@ -92,11 +95,10 @@
     if (settings_.listen_links && !hub_.Listen(*settings_.listen_links, why))
       return false;
     if (!envelopes_.Start(settings_.packets, why)) return false;
-    if (settings_.encapsulated) {
-      if (!OpenUdp(&encapsulated_, *settings_.encapsulated, true, why))
-        return false;
-      ReceiveEncapsulated();
-    }
+    if (settings_.encapsulated &&
+        !encapsulated_.Start(*settings_.encapsulated, port_sharing::kShared,
+                             why))
+      return false;
     return true;
   }
 
@@ -106,18 +108,6 @@
     if (view_.node().may_serve()) ports_.Follow(view_.node().view());
   }
 
-  void ReceiveEncapsulated() {
-    encapsulated_.async_wait(
-        asio::ip::udp::socket::wait_read, [this](asio::error_code error) {
-          if (error) return;
-          asio::error_code empty;
-          const std::size_t size =
-              encapsulated_.receive(asio::buffer(buffer_), 0, empty);
-          if (!empty) OnEncapsulated({buffer_.data(), size});
-          ReceiveEncapsulated();
-        });
-  }
-
   void OnEncapsulated(std::string_view bytes) {
     failure why;
     const auto parsed = ParseIpPacket(bytes, &why);
@@ -203,8 +193,7 @@
   envelope_socket envelopes_;
   balancer_ports ports_;
   balancer_relay relay_;
-  asio::ip::udp::socket encapsulated_;
-  std::array<char, 65536> buffer_{};
+  udp_port encapsulated_;
   routed_packet routed_;
   bool stopping_ = false;
 };
