--- /dev/null
+++ b/tests/consensus/consensus_node_test.cc
@@ -0,0 +1,257 @@
+// One member by itself, message by message: the cases that random schedules
+// found, each kept as a test of its own, and the stop after a failed disk.
+#include "tamaracklatch/consensus/consensus_node.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+
+namespace tamaracklatch::test {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr cluster_id kCluster{5};
+const member_id kA{"a", {1}};
+const member_id kB{"b", {2}};
+const member_id kC{"c", {3}};
+const member_id kNewC{"c", {4}};
+
+voter_configuration Configuration(std::vector<member_id> voters,
+                                  std::vector<member_id> learners = {}) {
+  voter_configuration configuration;
+  for (const member_id& id : voters) configuration.voters.push_back({id, {}});
+  for (const member_id& id : learners) {
+    configuration.learners.push_back({id, {}});
+  }
+  return configuration;
+}
+
+log_entry Change(std::uint64_t index, std::uint64_t term,
+                 const voter_configuration& to) {
+  return {{index}, {term}, entry_kind::kConfiguration, EncodeConfiguration(to)};
+}
+
+// What the disk of the member "a" holds.
+stored_state Stored(const voter_configuration& founding,
+                    std::vector<log_entry> entries = {}) {
+  stored_state stored;
+  stored.hard.disk = kA.disk;
+  stored.hard.cluster = kCluster;
+  log_snapshot snapshot;
+  snapshot.configuration = founding;
+  stored.snapshot = std::make_shared<const log_snapshot>(snapshot);
+  if (!entries.empty()) stored.hard.term = entries.back().term;
+  stored.entries = std::move(entries);
+  return stored;
+}
+
+// The member "a", with a disk that never fails.
+class driven_node {
+ public:
+  explicit driven_node(stored_state stored, std::vector<vm_name> founders = {})
+      : node(Settings(std::move(founders)), std::move(stored), random_source(7),
+             now) {
+    Settle();
+  }
+
+  static consensus_settings Settings(std::vector<vm_name> founders) {
+    consensus_settings settings;
+    settings.name = "a";
+    settings.founders = std::move(founders);
+    return settings;
+  }
+
+  void Input(const consensus_input& input) {
+    node.Handle(input, now);
+    Settle();
+  }
+
+  void Receive(const member_id& from, consensus_body body) {
+    const bool blank = node.role() == consensus_role::kBlank;
+    const cluster_id cluster = blank ? cluster_id{} : kCluster;
+    Input(message_received{{cluster, from, node.self(), std::move(body)}});
+  }
+
+  void Wait(duration time) {
+    const time_point end = now + time;
+    while (node.NextDeadline() <= end) {
+      now = std::max(now, node.NextDeadline());
+      Input(timer_due{});
+    }
+    now = end;
+  }
+
+  void Settle() {
+    while (true) {
+      const auto actions = node.TakeActions(now);
+      if (actions.empty()) return;
+      for (const consensus_action& action : actions) {
+        if (const auto* send = std::get_if<send_message>(&action)) {
+          sent.push_back(send->message);
+        } else if (const auto* persist = std::get_if<persist_batch>(&action)) {
+          node.Handle(batch_persisted{persist->batch.last_index}, now);
+        } else if (const auto* report = std::get_if<report_event>(&action)) {
+          events.push_back(report->what);
+        } else if (const auto* answer =
+                       std::get_if<proposal_outcome>(&action)) {
+          outcomes.push_back(*answer);
+        }
+      }
+    }
+  }
+
+  // The newest message of this type to `to`.
+  template <typename Body>
+  std::optional<Body> Last(const member_id& to) const {
+    for (auto it = sent.rbegin(); it != sent.rend(); ++it) {
+      const auto* body = std::get_if<Body>(&it->body);
+      if (body != nullptr && it->to.name == to.name) return *body;
+    }
+    return std::nullopt;
+  }
+
+  // Wins an election by the votes of `voters`.
+  void Lead(const std::vector<member_id>& voters) {
+    Wait(seconds(2));
+    const log_term asked{node.term().value + 1};
+    for (const member_id& id : voters) {
+      Receive(id, vote_reply{asked, true, true});
+    }
+    for (const member_id& id : voters) {
+      Receive(id, vote_reply{asked, false, true});
+    }
+    cr_assert(node.role() == consensus_role::kLeader);
+  }
+
+  // The follower has all that was sent to it.
+  void Follow(const member_id& id) {
+    const auto request = Last<append_request>(id);
+    cr_assert(request.has_value());
+    Receive(id, append_reply{node.term(), true, node.log().last_index(),
+                             request->round, request->generation});
+  }
+
+  time_point now;
+  consensus_node node;
+  std::vector<consensus_message> sent;
+  std::vector<event> events;
+  std::vector<proposal_outcome> outcomes;
+};
+
+Test(consensus_node, an_answer_to_a_past_life_confirms_nothing) {
+  driven_node a(Stored(Configuration({kA, kB, kC})));
+  a.Receive(kB, append_request{{1}, {0}, {0}, {0}, 1, 0, {}});
+  for (std::uint64_t id = 0; id < 100; ++id) {
+    a.Receive(kB, read_reply{id, true, {0}});
+  }
+  cr_assert(!a.node.confirmed());
+  const auto asked = a.Last<read_request>(kB);
+  cr_assert(asked.has_value());
+  a.Receive(kB, read_reply{asked->id, true, {0}});
+  cr_assert(a.node.confirmed());
+}
+
+Test(consensus_node, a_voter_that_alone_holds_its_removal_stands) {
+  driven_node a(Stored(Configuration({kA, kB, kC}),
+                       {Change(1, 1, Configuration({kB, kC}))}));
+  a.Wait(seconds(3));
+  cr_assert(a.Last<vote_request>(kB).has_value());
+}
+
+Test(consensus_node, a_learner_asked_by_an_older_log_stands) {
+  driven_node a(Stored(Configuration({kB, kC}, {kA}),
+                       {{{1}, {3}, entry_kind::kCommand, "newer"}}));
+  a.Wait(seconds(3));
+  cr_assert(!a.Last<vote_request>(kB).has_value());
+  a.Receive(kB, vote_request{{5}, true, {1}, {2}});
+  cr_assert(!a.Last<vote_reply>(kB)->granted);
+  a.Wait(seconds(2));
+  cr_assert(a.Last<vote_request>(kB).has_value());
+}
+
+Test(consensus_node, the_voter_of_a_lost_disk_goes_before_the_newcomer_votes) {
+  driven_node a(Stored(Configuration({kA, kB, kC})));
+  a.Lead({kB});
+  a.Follow(kB);
+  a.Input(message_received{{{}, kNewC, {"a", {}}, join_request{1, 0}}});
+  a.Follow(kB);
+  cr_assert(a.node.log().configuration().IsLearner(kNewC));
+  a.Wait(duration(200000));
+  a.Follow(kB);
+  a.Follow(kNewC);
+  a.Wait(duration(200000));
+  const voter_configuration& next = a.node.log().configuration();
+  cr_assert(!next.IsVoter(kC) && !next.IsVoter(kNewC));
+  cr_assert(next.IsLearner(kNewC));
+  a.Follow(kB);
+  a.Follow(kNewC);
+  a.Wait(duration(200000));
+  cr_assert(a.node.log().configuration() ==
+            a.node.log().configuration().Without(kC));
+  cr_assert(a.node.log().configuration().IsVoter(kNewC));
+}
+
+Test(consensus_node, nobody_is_invited_into_what_is_not_accepted) {
+  driven_node a(Stored(Configuration({kA, kB, kC})));
+  a.Lead({kB});
+  a.Follow(kB);
+  for (int i = 0; i < 3; ++i) {
+    a.Input(message_received{{{}, kNewC, {"a", {}}, join_request{1, 0}}});
+  }
+  cr_assert(a.node.log().configuration().IsLearner(kNewC));
+  cr_assert(!a.Last<join_invitation>(kNewC).has_value());
+  a.Follow(kB);
+  a.Input(message_received{{{}, kNewC, {"a", {}}, join_request{1, 0}}});
+  cr_assert(a.Last<join_invitation>(kNewC).has_value());
+}
+
+Test(consensus_node, founding_needs_a_fresh_echo_of_every_peer) {
+  driven_node a(stored_state{}, {"a", "b"});
+  a.Wait(seconds(2));
+  const auto first = a.Last<join_request>(kB);
+  cr_assert(first.has_value());
+  a.Receive(kB, join_request{9, 0});
+  a.Wait(seconds(1));
+  cr_assert(a.node.role() == consensus_role::kBlank);
+  // An echo of an announcement long past counts for nothing.
+  a.Receive(kB, join_request{9, first->nonce});
+  a.Wait(seconds(1));
+  cr_assert(a.node.role() == consensus_role::kBlank);
+  const auto newest = a.Last<join_request>(kB);
+  a.Receive(kB, join_request{9, newest->nonce});
+  a.Wait(seconds(1));
+  cr_assert(a.node.role() != consensus_role::kBlank);
+  cr_assert(a.Last<join_invitation>(kB).has_value());
+}
+
+Test(consensus_node, a_known_log_forbids_founding) {
+  driven_node a(stored_state{}, {"a", "b"});
+  a.Input(message_received{{kCluster, kC, a.node.self(), log_exists{}}});
+  a.Wait(seconds(1));
+  a.Receive(kB, join_request{9, a.Last<join_request>(kB)->nonce});
+  a.Wait(seconds(1));
+  cr_assert(a.node.role() == consensus_role::kBlank);
+}
+
+Test(consensus_node, a_failed_disk_ends_voting_and_says_so) {
+  driven_node a(Stored(Configuration({kA, kB, kC})));
+  a.Lead({kB});
+  a.Follow(kB);
+  a.Input(command_proposed{1, "command"});
+  a.Input(storage_failed{{result_code::kDiskFull, "no room"}});
+  cr_assert(a.node.role() == consensus_role::kStopped);
+  cr_assert_eq(a.outcomes.size(), 1u);
+  cr_assert(a.outcomes[0].code == result_code::kOutcomeUnknown);
+  cr_assert(a.events.back().id == event_id::kVotingStopped);
+  cr_assert(a.events.back().code == result_code::kDiskFull);
+  a.sent.clear();
+  a.Wait(seconds(10));
+  a.Receive(kB, vote_request{{9}, false, {99}, {8}});
+  cr_assert(a.sent.empty());
+  a.Input(command_proposed{2, "command"});
+  cr_assert(a.outcomes.back().code == result_code::kStorageStopped);
+}
+
+}  // namespace
+}  // namespace tamaracklatch::test
