--- a/include/tamaracklatch/flow/flow_owner.h
+++ b/include/tamaracklatch/flow/flow_owner.h
@@ -246,8 +246,12 @@
             std::vector<owner_action>* actions);
 
   void AfterView(time_point now, std::vector<owner_action>* actions);
-  void ListOwnClasses();
+  void ListOwnBuckets();
+  void CountAllFlows();
   void SendReport(time_point now, std::vector<owner_action>* actions);
+  void SendReportTo(const placed_target& peer,
+                    std::vector<owner_action>* actions);
+  void EncodeReport();
   void CountHeld(std::uint64_t hash, int change);
 
   void Expire(std::uint32_t slot, time_point now,
@@ -286,12 +290,14 @@
   // Packets that arrived before this have seen the newest view.
   time_point confirmed_before_;
 
-  // Flows by class, and the classes whose buckets are ours.
-  std::vector<std::uint32_t> held_classes_;
-  std::vector<std::uint64_t> own_classes_;
+  // Flows by bucket, and as bits the buckets of which this is a candidate, both
+  // of the current placement.
+  std::vector<std::uint32_t> held_flows_;
+  std::vector<std::uint64_t> own_buckets_;
   bool report_due_ = false;
   time_point reported_at_;
   std::uint64_t report_count_ = 0;
+  std::string report_bytes_;
 };
 
 }  // namespace tamaracklatch
--- a/include/tamaracklatch/placement/placement_table.h
+++ b/include/tamaracklatch/placement/placement_table.h
@@ -38,6 +38,9 @@
   std::shared_ptr<const service_placement> current;
   std::vector<past_placement> past;           // newest first
   std::map<target_id, held_buckets> reports;  // the newest of each target
+  // Beside current->targets(): the report since changed_at, or null. Refers
+  // into `reports`.
+  std::vector<const held_buckets*> fresh;
 };
 
 class placement_table {
@@ -49,8 +52,9 @@
   // Applies the changes of one revision. A revision not above at() is ignored.
   void Apply(const revision_changes& step, time_point now);
 
-  // Takes a report; an older one than known is ignored.
-  void Apply(const held_buckets& report);
+  // Takes a report; an older one than known is ignored. Gives whether it is the
+  // first of this target.
+  bool Apply(const held_buckets& report);
 
   // The newest revision applied.
   revision at() const { return at_; }
--- a/include/tamaracklatch/placement/service_placement.h
+++ b/include/tamaracklatch/placement/service_placement.h
@@ -84,6 +84,11 @@
   // The target with this id, or null.
   const placed_target* Find(target_id id) const;
 
+  // The index in targets() of one of them.
+  std::size_t IndexOf(const placed_target& target) const {
+    return static_cast<std::size_t>(&target - targets_.data());
+  }
+
   // Memory held, in bytes.
   std::size_t MemoryBytes() const;
 
--- a/src/flow/flow_owner.cc
+++ b/src/flow/flow_owner.cc
@@ -27,8 +27,7 @@
 constexpr std::size_t kPassedEntries = 256;  // a power of two
 constexpr std::size_t kPassedWays = 4;
 
-// Flows by the low bits of their hash, for reports. At least kMinBuckets.
-constexpr std::uint32_t kClasses = 2048;
+constexpr std::uint32_t kBitsPerWord = 64;
 
 // A pull that was not answered is asked for again after this.
 constexpr std::chrono::milliseconds kPullEvery{100};
@@ -99,8 +98,6 @@
       passed_(kPassedEntries),
       pulled_at_(now),
       confirmed_before_(time_point::min()),
-      held_classes_(kClasses),
-      own_classes_(kClasses / 64),
       reported_at_(now) {
   assert(settings_.service.value != 0);
   assert(settings_.self.sequence != 0);
@@ -142,7 +139,7 @@
       BeginDrain(now);
     }
   }
-  ListOwnClasses();
+  ListOwnBuckets();
   SendReport(now, actions);
   Retry(now, actions);
 }
@@ -779,69 +776,86 @@
 
 // ---- reports ----
 
-void flow_owner::ListOwnClasses() {
-  std::fill(own_classes_.begin(), own_classes_.end(), 0);
+void flow_owner::ListOwnBuckets() {
   const placed_service* service = table_.Find(settings_.service);
   if (service == nullptr) return;
   const service_placement& placement = *service->current;
   const std::uint32_t buckets = placement.bucket_count();
+  if (held_flows_.size() != buckets) CountAllFlows();
+  own_buckets_.assign(buckets / kBitsPerWord, 0);
   for (std::uint32_t bucket = 0; bucket < buckets; ++bucket) {
     const bucket_candidates two = placement.CandidatesOf(bucket);
-    bool ours = false;
     for (const std::uint16_t index : {two.first, two.second}) {
-      ours = ours || (index != kNoTarget &&
-                      placement.targets()[index].id == settings_.self);
-    }
-    if (!ours) continue;
-    for (std::uint32_t each = bucket % kClasses; each < kClasses;
-         each += std::min(buckets, kClasses)) {
-      own_classes_[each / 64] |= std::uint64_t{1} << (each % 64);
+      if (index == kNoTarget || placement.targets()[index].id != settings_.self)
+        continue;
+      own_buckets_[bucket / kBitsPerWord] |= std::uint64_t{1}
+                                             << (bucket % kBitsPerWord);
     }
   }
 }
 
+// Looks at every flow; only when the number of buckets changes, which the
+// number of targets does at a power of two.
+void flow_owner::CountAllFlows() {
+  const std::uint32_t buckets =
+      table_.Find(settings_.service)->current->bucket_count();
+  held_flows_.assign(buckets, 0);
+  for (flow_slot slot = 0; slot < flows_->slots(); ++slot) {
+    const flow_entry& entry = flows_->At(slot);
+    if (entry.live) ++held_flows_[entry.hash & (buckets - 1)];
+  }
+}
+
 void flow_owner::CountHeld(std::uint64_t hash, int change) {
-  const auto each = static_cast<std::uint32_t>(hash & (kClasses - 1));
-  std::uint32_t& count = held_classes_[each];
+  assert(!held_flows_.empty());
+  const std::uint64_t bucket = hash & (held_flows_.size() - 1);
+  std::uint32_t& count = held_flows_[bucket];
   const bool before = count != 0;
   count = static_cast<std::uint32_t>(static_cast<int>(count) + change);
-  const bool ours = (own_classes_[each / 64] >> (each % 64) & 1U) != 0;
+  const bool ours =
+      (own_buckets_[bucket / kBitsPerWord] >> (bucket % kBitsPerWord) & 1U) !=
+      0;
   if (!ours && before != (count != 0)) report_due_ = true;
 }
 
-void flow_owner::SendReport(time_point now,
-                            std::vector<owner_action>* actions) {
-  report_due_ = false;
-  reported_at_ = now;
-  const placed_service* service = table_.Find(settings_.service);
-  if (service == nullptr) return;
+void flow_owner::EncodeReport() {
   held_buckets report;
   report.service = settings_.service;
   report.target = settings_.self;
   report.at = table_.at();
   report.count = ++report_count_;
-  report.bucket_count = kClasses;
-  report.bits = own_classes_;
-  for (std::uint32_t each = 0; each < kClasses; ++each) {
-    if (held_classes_[each] != 0) report.Set(each);
+  report.bucket_count = static_cast<std::uint32_t>(held_flows_.size());
+  report.bits = own_buckets_;
+  for (std::uint32_t bucket = 0; bucket < report.bucket_count; ++bucket) {
+    if (held_flows_[bucket] != 0) report.Set(bucket);
   }
   table_.Apply(report);
+  report_bytes_ = EncodeHeldBuckets(report);
+}
 
-  held_packet kept;
-  kept.bytes = EncodeHeldBuckets(report);
-  released_.push_back(std::move(kept));
+void flow_owner::SendReportTo(const placed_target& peer,
+                              std::vector<owner_action>* actions) {
   envelope what;
   what.kind = envelope_kind::kReport;
   what.service = settings_.service;
-  what.at = service->changed_at;
+  what.at = table_.Find(settings_.service)->changed_at;
   what.origin = settings_.packets;
+  what.target = peer.id;
+  what.started = peer.started;
+  what.payload = report_bytes_;
+  ++counters_.reports;
+  actions->push_back(send_envelope{peer.packets, what});
+}
+
+void flow_owner::SendReport(time_point now,
+                            std::vector<owner_action>* actions) {
+  report_due_ = false;
+  reported_at_ = now;
+  const placed_service* service = table_.Find(settings_.service);
+  if (service == nullptr) return;
+  EncodeReport();
   for (const placed_target& peer : service->current->targets()) {
-    if (peer.id == settings_.self) continue;
-    what.target = peer.id;
-    what.started = peer.started;
-    what.payload = released_.back().bytes;
-    ++counters_.reports;
-    actions->push_back(send_envelope{peer.packets, what});
+    if (peer.id != settings_.self) SendReportTo(peer, actions);
   }
 }
 
@@ -857,7 +871,11 @@
     Drop(result_code::kHeldReportMalformed, what, actions);
     return;
   }
-  table_.Apply(*report);
+  if (table_.Apply(*report) && !report_bytes_.empty()) {
+    // A newcomer, which does not know ours yet.
+    const placed_service* service = table_.Find(settings_.service);
+    SendReportTo(*service->current->Find(report->target), actions);
+  }
   if (what.at > table_.at()) Pull(what.at, now, actions);
   Retry(now, actions);
 }
@@ -984,8 +1002,8 @@
 std::size_t flow_owner::MemoryBytes() const {
   return sizeof(*this) + flows_->MemoryBytes() +
          passed_.capacity() * sizeof(passed_packet) +
-         held_classes_.capacity() * sizeof(std::uint32_t) +
-         own_classes_.capacity() * sizeof(std::uint64_t) +
+         held_flows_.capacity() * sizeof(std::uint32_t) +
+         own_buckets_.capacity() * sizeof(std::uint64_t) +
          held_.size() * sizeof(held_packet);
 }
 
--- a/src/flow/flow_router.cc
+++ b/src/flow/flow_router.cc
@@ -9,7 +9,7 @@
 namespace tamaracklatch {
 namespace {
 
-constexpr std::chrono::seconds kCacheTick{1};
+constexpr std::chrono::seconds kCacheTick{4};
 
 // How long after a change the earlier owners are listed. Later the target
 // daemons know of them by their reports.
@@ -115,8 +115,7 @@
 }
 
 std::uint32_t flow_router::Ticks(time_point now) const {
-  // Never 0, which marks an empty entry.
-  return static_cast<std::uint32_t>(now.time_since_epoch() / kCacheTick) + 1;
+  return static_cast<std::uint32_t>(now.time_since_epoch() / kCacheTick);
 }
 
 result_code flow_router::Route(const packet& what, time_point now,
--- a/src/flow/owner_cache.cc
+++ b/src/flow/owner_cache.cc
@@ -3,82 +3,83 @@
 #include "flow/owner_cache.h"
 
 #include <algorithm>
-#include <cassert>
 
 namespace tamaracklatch {
 namespace {
 
 constexpr std::size_t kWays = 8;
 constexpr std::size_t kFirstSets = 8;
-constexpr std::size_t kFullPercent = 80;  // grows past this
+constexpr std::size_t kFullPercent = 55;  // grows past this
+
+// Ages are counted modulo 2^16.
+constexpr std::uint32_t kLongestIdle = (1U << 15U) - 1;
 
 }  // namespace
 
 owner_cache::owner_cache(std::size_t max_entries, std::uint32_t idle_ticks)
     : max_entries_(std::max(max_entries, kWays * kFirstSets)),
-      idle_ticks_(idle_ticks),
+      idle_ticks_(std::min(idle_ticks, kLongestIdle)),
       entries_(kWays * kFirstSets) {}
 
-owner_cache::entry* owner_cache::SetOf(std::uint64_t hash) {
+owner_cache::entry* owner_cache::SetOf(std::uint32_t high) {
   const std::size_t sets = entries_.size() / kWays;
-  // The low bits choose the bucket, so the high ones choose the set.
-  return &entries_[((hash >> 32U) & (sets - 1)) * kWays];
+  return &entries_[(high & (sets - 1)) * kWays];
 }
 
 std::optional<target_id> owner_cache::Find(std::uint64_t hash,
                                            std::uint32_t now) {
-  assert(now != 0);
-  entry* set = SetOf(hash);
+  entry* set = SetOf(static_cast<std::uint32_t>(hash >> 32U));
   for (std::size_t way = 0; way < kWays; ++way) {
     entry& each = set[way];
-    if (each.hash != hash || each.used == 0) continue;
-    if (Expired(each, now)) return std::nullopt;
-    each.used = now;
+    if (!each.Is(hash)) continue;
+    if (Expired(each, Short(now))) return std::nullopt;
+    each.used = Short(now);
     return each.owner;
   }
   return std::nullopt;
 }
 
 void owner_cache::Put(std::uint64_t hash, target_id owner, std::uint32_t now) {
-  assert(now != 0);
-  Sweep(now);
+  const std::uint16_t tick = Short(now);
+  Sweep(tick);
   if (size_ * 100 > entries_.size() * kFullPercent &&
       entries_.size() * 2 <= max_entries_) {
-    Grow(now);
+    Grow(tick);
   }
-  Insert({hash, owner, now, 0}, now);
+  Insert({static_cast<std::uint32_t>(hash >> 32U),
+          static_cast<std::uint16_t>(hash >> 16U), tick, owner},
+         tick);
 }
 
-void owner_cache::Insert(const entry& next, std::uint32_t now) {
-  entry* set = SetOf(next.hash);
+void owner_cache::Insert(const entry& next, std::uint16_t now) {
+  entry* set = SetOf(next.high);
   entry* victim = set;
   for (std::size_t way = 0; way < kWays; ++way) {
     entry& each = set[way];
-    if (each.used != 0 && each.hash == next.hash) {
+    const bool same = each.high == next.high && each.middle == next.middle;
+    if (each.used != 0 && same) {
       each = next;
       return;
     }
-    // An empty entry has the longest time since its use.
-    if (each.used == 0 ||
-        (victim->used != 0 && now - each.used > now - victim->used)) {
-      victim = &each;
-    }
+    // An empty entry comes first, then the one unused for longest.
+    const bool older = victim->used != 0 && Age(each, now) > Age(*victim, now);
+    if (each.used == 0 || older) victim = &each;
   }
   if (victim->used == 0) ++size_;
   *victim = next;
 }
 
 void owner_cache::Remove(std::uint64_t hash, target_id owner) {
-  entry* set = SetOf(hash);
+  entry* set = SetOf(static_cast<std::uint32_t>(hash >> 32U));
   for (std::size_t way = 0; way < kWays; ++way) {
     entry& each = set[way];
-    if (each.used == 0 || each.hash != hash || each.owner != owner) continue;
+    if (!each.Is(hash) || each.owner != owner) continue;
     each = entry();
     --size_;
   }
 }
 
-void owner_cache::Grow(std::uint32_t now) {
+void owner_cache::Grow(std::uint16_t now) {
   std::vector<entry> earlier(entries_.size() * 2);
   earlier.swap(entries_);
   size_ = 0;
@@ -87,7 +88,7 @@
   }
 }
 
-void owner_cache::Sweep(std::uint32_t now) {
+void owner_cache::Sweep(std::uint16_t now) {
   hand_ = (hand_ + kWays) % entries_.size();
   for (std::size_t at = hand_; at < hand_ + kWays; ++at) {
     if (entries_[at].used == 0 || !Expired(entries_[at], now)) continue;
--- a/src/flow/owner_cache.h
+++ b/src/flow/owner_cache.h
@@ -12,8 +12,8 @@
 
 class owner_cache {
  public:
-  // `max_entries` bounds the cache; `idle_ticks` is how long an unused entry
-  // counts.
+  // `max_entries` bounds the cache; `idle_ticks`, below 2^15, is how long an
+  // unused entry counts.
   owner_cache(std::size_t max_entries, std::uint32_t idle_ticks);
 
   // The owner, if known; refreshes the entry. `now` in ticks, never 0.
@@ -30,20 +30,35 @@
   std::size_t MemoryBytes() const;
 
  private:
-  // An empty entry has used == 0.
+  // An empty entry has used == 0. Two flows whose hashes agree in the high 48
+  // bits are taken for one, which costs a hop.
   struct entry {
-    std::uint64_t hash = 0;
+    std::uint32_t high = 0;    // bits 32 to 63 of the hash; its low bits
+                               // choose the set
+    std::uint16_t middle = 0;  // bits 16 to 31
+    std::uint16_t used = 0;    // the low bits of the tick, or 1 for 0
     target_id owner;
-    std::uint32_t used = 0;  // ticks
-    std::uint32_t padding = 0;
+
+    bool Is(std::uint64_t hash) const {
+      return high == static_cast<std::uint32_t>(hash >> 32U) &&
+             middle == static_cast<std::uint16_t>(hash >> 16U) && used != 0;
+    }
   };
 
-  entry* SetOf(std::uint64_t hash);
-  void Insert(const entry& next, std::uint32_t now);
-  void Grow(std::uint32_t now);
-  void Sweep(std::uint32_t now);
-  bool Expired(const entry& each, std::uint32_t now) const {
-    return now - each.used > idle_ticks_;
+  static std::uint16_t Short(std::uint32_t tick) {
+    const auto low = static_cast<std::uint16_t>(tick);
+    return low == 0 ? 1 : low;
+  }
+  entry* SetOf(std::uint32_t high);
+  void Insert(const entry& next, std::uint16_t now);
+  void Grow(std::uint16_t now);
+  void Sweep(std::uint16_t now);
+  // Ticks since the entry's use.
+  static std::uint16_t Age(const entry& each, std::uint16_t now) {
+    return static_cast<std::uint16_t>(now - each.used);
+  }
+  bool Expired(const entry& each, std::uint16_t now) const {
+    return Age(each, now) > idle_ticks_;
   }
 
   std::size_t max_entries_;
--- a/src/placement/placement_table.cc
+++ b/src/placement/placement_table.cc
@@ -27,9 +27,19 @@
 
 // What the target said since the service last changed, or null.
 const held_buckets* FreshReport(const placed_service& service, target_id id) {
-  const auto found = service.reports.find(id);
-  if (found == service.reports.end()) return nullptr;
-  return found->second.at < service.changed_at ? nullptr : &found->second;
+  const placed_target* found = service.current->Find(id);
+  if (found == nullptr) return nullptr;
+  return service.fresh[service.current->IndexOf(*found)];
+}
+
+// Sets the pointer to the target's report, if it is fresh.
+void ListIfFresh(placed_service* service, target_id id) {
+  const placed_target* found = service->current->Find(id);
+  const auto report = service->reports.find(id);
+  if (found == nullptr || report == service->reports.end()) return;
+  const bool is_fresh = report->second.at >= service->changed_at;
+  service->fresh[service->current->IndexOf(*found)] =
+      is_fresh ? &report->second : nullptr;
 }
 
 bool Excluded(const placed_service& service, target_id id,
@@ -106,12 +116,15 @@
   services_.erase(found);
 }
 
-void placement_table::Apply(const held_buckets& report) {
+bool placement_table::Apply(const held_buckets& report) {
   const auto service = services_.find(report.service);
-  if (service == services_.end()) return;
-  if (service->second.targets.count(report.target) == 0) return;
-  held_buckets& known = service->second.reports[report.target];
-  if (report.count >= known.count) known = report;
+  if (service == services_.end()) return false;
+  if (service->second.targets.count(report.target) == 0) return false;
+  const auto [known, is_first] =
+      service->second.reports.try_emplace(report.target, report);
+  if (report.count > known->second.count) known->second = report;
+  ListIfFresh(&service->second, report.target);
+  return is_first;
 }
 
 void placement_table::Replace(placed_service* service, time_point now) {
@@ -127,6 +140,8 @@
   for (const auto& [id, target] : service->targets) targets.push_back(target);
   service->current = std::make_shared<const service_placement>(
       at_, service->record.document, targets);
+  service->fresh.assign(service->current->targets().size(), nullptr);
+  for (const auto& [id, report] : service->reports) ListIfFresh(service, id);
 }
 
 const placed_service* placement_table::Find(service_id service) const {
@@ -178,14 +193,14 @@
   std::vector<const placed_target*> holders =
       PastOwners(service, flow_hash, time_point::min());
   const std::vector<placed_target>& targets = service.current->targets();
-  for (const placed_target& target : targets) {
-    const held_buckets* report = FreshReport(service, target.id);
+  for (std::size_t at = 0; at < targets.size(); ++at) {
+    const held_buckets* report = service.fresh[at];
     if (report != nullptr && report->MayHold(flow_hash))
-      AddById(*service.current, target.id, &holders);
+      AddById(*service.current, targets[at].id, &holders);
   }
-  for (const placed_target& target : targets) {
-    if (FreshReport(service, target.id) == nullptr)
-      AddById(*service.current, target.id, &holders);
+  for (std::size_t at = 0; at < targets.size(); ++at) {
+    if (service.fresh[at] == nullptr)
+      AddById(*service.current, targets[at].id, &holders);
   }
   return holders;
 }
