Keep targets' leases with the balancers of their zone; tell refusals back

Cause: target daemons renewed with the control VMs, so heartbeats left the zone; a start with a clock that went back waited for the earlier lease to run out, since nobody told it why it was refused.

Change: balancers run the lease table; a target daemon renews with the node it pulls from, control VMs stand in; the leader tells a relay the refusals of what it reports, and the target answers with a newer generation.

--- a/include/tamaracklatch/membership/announcer.h
+++ b/include/tamaracklatch/membership/announcer.h
@@ -35,7 +35,8 @@
   announcer(const announcer_settings& settings, std::uint64_t seed,
             time_point now);
 
-  // The relays that may be asked; keeps to the one in use if it is among them.
+  // The relays that may be asked, the preferred one first. Keeps to the one in
+  // use if it is among them and the preferred one has not changed.
   void SetRelays(const std::vector<relay_contact>& relays, time_point now);
 
   std::vector<send> OnTick(time_point now);
--- a/include/tamaracklatch/membership/loss_judge.h
+++ b/include/tamaracklatch/membership/loss_judge.h
@@ -58,6 +58,11 @@
   std::vector<target_key> OnReport(const membership_report& report,
                                    const cluster_view& view, time_point now);
 
+  // The log did not take these in. They are told to whoever reports them next.
+  void OnRefused(const std::vector<refused_target>& refused, time_point now);
+  std::vector<refused_target> RefusalsFor(const membership_report& report,
+                                          time_point now);
+
   // An operator drains a target.
   void Drain(const target_key& key, time_point now);
 
@@ -93,7 +98,14 @@
                             const zone_name& zone) const;
   std::size_t TakenInZone(const zone_name& zone) const;
 
+  // A refusal that was not yet told for long.
+  struct refusal {
+    refused_target target;
+    time_point until;
+  };
+
   loss_settings settings_;
+  std::map<target_key, refusal> refusals_;
   membership_batch pending_;
   std::map<target_key, suspicion> suspicions_;
   // The relay that last reported a target alive. Bounded by the members and
--- a/src/daemon/balancerd.cc
+++ b/src/daemon/balancerd.cc
@@ -8,6 +8,7 @@
 #include "daemon/balancer_ports.h"
 #include "daemon/balancer_relay.h"
 #include "daemon/envelope_socket.h"
+#include "daemon/lease_agent.h"
 #include "daemon/process_frame.h"
 #include "daemon/view_agent.h"
 #include "tamaracklatch/daemon/daemons.h"
@@ -17,6 +18,8 @@
 namespace tamaracklatch {
 namespace {
 
+constexpr std::chrono::milliseconds kLeaseInterval{
+    100};  // between looks at the leases
 constexpr std::chrono::milliseconds kCheckInterval{
     1000};  // of stuck connections and of the end of a stop
 
@@ -30,6 +33,13 @@
   return result;
 }
 
+lease_settings LeaseSettings(const balancerd_settings& settings) {
+  lease_settings result;
+  result.relay = settings.process.name;
+  result.zone = settings.process.zone;
+  return result;
+}
+
 class balancerd : public view_listener, public port_listener {
  public:
   explicit balancerd(const balancerd_settings& settings)
@@ -37,6 +47,8 @@
         frame_(settings.process, process_role::kBalancer),
         hub_(&frame_.loop(), frame_.links(), &frame_.clock(), &frame_.events()),
         view_(&frame_, &hub_, RelaySettings(settings, frame_), this),
+        leases_(&frame_, &hub_, &view_, LeaseSettings(settings),
+                ControlContacts(settings.control)),
         router_(RouterSettings(settings)),
         envelopes_(&frame_.loop(), settings.process.link_key, &frame_.counts(),
                    [this](const envelope& what) { OnEnvelope(what); }),
@@ -52,6 +64,7 @@
       return 1;
     }
     frame_.Every(kCheckInterval, [this] { Check(); });
+    frame_.Every(kLeaseInterval, [this] { leases_.Tick(); });
     view_.Start();
     frame_.Run([this] { BeginStop(); });
     return 0;
@@ -199,6 +212,7 @@
   process_frame frame_;
   link_hub hub_;
   view_agent view_;
+  lease_agent leases_;
   flow_router router_;
   envelope_socket envelopes_;
   balancer_ports ports_;
--- a/src/daemon/control_api.cc
+++ b/src/daemon/control_api.cc
@@ -220,6 +220,7 @@
       in_force_.OnAccepted(outcome.accepted);
     TellSubmission(outcome);
   }
+  if (!outcome.refused.empty() && on_refused_) on_refused_(outcome.refused);
   Perform(gate_.OnApplied(outcome));
   for (const event& what : watch_.OnChanges(changes))
     frame_->events().OnEvent(what);
--- a/src/daemon/control_api.h
+++ b/src/daemon/control_api.h
@@ -28,6 +28,12 @@
   // Call before anything else; both must outlive the API.
   void SetAgents(consensus_agent* consensus, view_agent* view);
 
+  // Called with the targets that an applied entry did not take in.
+  void SetRefusalHandler(
+      std::function<void(const std::vector<refused_target>&)> handler) {
+    on_refused_ = std::move(handler);
+  }
+
   // Takes a request of an operator.
   void Handle(const http_request& request, const http_reply& reply);
 
@@ -83,6 +89,7 @@
   membership_watch watch_;
   std::map<std::uint64_t, http_reply>
       replies_;  // of submissions, by the request's number
+  std::function<void(const std::vector<refused_target>&)> on_refused_;
   std::uint64_t next_request_ = 1;
   bool led_ = false;  // at the last look
 };
--- a/src/daemon/controld.cc
+++ b/src/daemon/controld.cc
@@ -78,6 +78,9 @@
         view_(&frame_, &hub_, RelaySettings(settings, frame_), nullptr),
         leases_(LeaseSettings(settings)) {
     api_.SetAgents(&consensus_, &view_);
+    api_.SetRefusalHandler([this](const std::vector<refused_target>& refused) {
+      judge_.OnRefused(refused, frame_.Now());
+    });
     view_.SetQuorumChecker(
         [this](const quorum_check& check) { CheckQuorum(check); });
     hub_.SetHandler(frame_kind::kMembership,
@@ -168,6 +171,7 @@
     answer.term = consensus_.node().term().value;
     answer.held_elsewhere =
         judge_.OnReport(report, state_.view(), frame_.Now());
+    answer.refused = judge_.RefusalsFor(report, frame_.Now());
     if (peer.empty()) return leases_.OnReportAnswer(answer, frame_.Now());
     hub_.Send(peer, {}, frame_kind::kMembership, EncodeMembershipFrame(answer));
   }
--- a/src/daemon/targetd.cc
+++ b/src/daemon/targetd.cc
@@ -78,7 +78,6 @@
       fmt::print(stderr, "{}\n", ToString(why));
       return 1;
     }
-    announcer_.SetRelays(ControlContacts(settings_.control), frame_.Now());
     frame_.Every(kTickEvery, [this] { Tick(); });
     frame_.Every(kAnnounceInterval, [this] { Announce(); });
     view_.Start();
@@ -275,7 +274,29 @@
     Perform();
   }
 
+  // The lease is kept by the node that this one pulls from: a relay of its own
+  // zone where there is one, so that heartbeats stay in the zone. The control
+  // VMs stand in while there is none.
+  void FollowParent() {
+    const auto& parent = view_.node().parent();
+    const std::string name = parent ? parent->name : "";
+    if (has_relays_ && name == lease_parent_) return;
+    has_relays_ = true;
+    lease_parent_ = name;
+    std::vector<relay_contact> relays = ControlContacts(settings_.control);
+    const auto same = std::find_if(
+        relays.begin(), relays.end(),
+        [&](const relay_contact& relay) { return relay.name == name; });
+    if (same != relays.end()) {
+      std::rotate(relays.begin(), same, same + 1);
+    } else if (parent) {
+      relays.insert(relays.begin(), *parent);
+    }
+    announcer_.SetRelays(relays, frame_.Now());
+  }
+
   void Announce() {
+    FollowParent();
     for (const announcer::send& each : announcer_.OnTick(frame_.Now())) {
       hub_.Send(each.relay.name, each.relay.where, frame_kind::kMembership,
                 EncodeMembershipFrame(each.message));
@@ -318,6 +339,8 @@
   link_hub hub_;
   view_agent view_;
   announcer announcer_;
+  bool has_relays_ = false;   // the announcer was given any
+  std::string lease_parent_;  // the node's parent when it was
   envelope_socket envelopes_;
   target_datagrams datagrams_;
   target_relay relay_;
--- a/src/membership/announcer.cc
+++ b/src/membership/announcer.cc
@@ -23,13 +23,14 @@
 void announcer::SetRelays(const std::vector<relay_contact>& relays,
                           time_point now) {
   const std::string used = relays_.empty() ? "" : relays_[current_].name;
+  const std::string preferred = relays_.empty() ? "" : relays_[0].name;
   relays_ = relays;
   current_ = 0;
   if (relays_.empty()) return;
   const auto same = std::find_if(
       relays_.begin(), relays_.end(),
       [&](const relay_contact& relay) { return relay.name == used; });
-  if (same != relays_.end()) {
+  if (same != relays_.end() && relays_[0].name == preferred) {
     current_ = static_cast<std::size_t>(same - relays_.begin());
     return;
   }
--- a/src/membership/loss_judge.cc
+++ b/src/membership/loss_judge.cc
@@ -10,6 +10,8 @@
 
 // A proposal that the view does not show by then is made again.
 constexpr duration kProposalPatience = std::chrono::seconds(5);
+// A refusal is told to a relay that still reports the target by then.
+constexpr duration kRefusalRetention = std::chrono::seconds(10);
 // Holders kept beyond twice the members, before they are looked through.
 constexpr std::size_t kHolderSlack = 4096;
 
@@ -67,6 +69,31 @@
   }
 }
 
+void loss_judge::OnRefused(const std::vector<refused_target>& refused,
+                           time_point now) {
+  for (auto entry = refusals_.begin(); entry != refusals_.end();) {
+    entry =
+        entry->second.until <= now ? refusals_.erase(entry) : std::next(entry);
+  }
+  for (const refused_target& target : refused)
+    refusals_[target.key] = {target, now + kRefusalRetention};
+}
+
+std::vector<refused_target> loss_judge::RefusalsFor(
+    const membership_report& report, time_point now) {
+  std::vector<refused_target> told;
+  for (const target_announcement& target : report.alive) {
+    const auto found = refusals_.find(target.key);
+    if (found == refusals_.end() || found->second.until <= now) continue;
+    // It has answered the refusal by a newer generation.
+    const refused_target& refused = found->second.target;
+    const bool is_answered = refused.code == result_code::kTargetSuperseded &&
+                             target.generation > refused.newest_generation;
+    if (!is_answered) told.push_back(refused);
+  }
+  return told;
+}
+
 void loss_judge::Drain(const target_key& key, time_point now) {
   pending_.drains.push_back(key);
   next_ = std::min(next_, now);
@@ -168,6 +195,7 @@
   pending_ = {};
   suspicions_.clear();
   holders_.clear();
+  refusals_.clear();
   single_losses_.clear();
   next_ = time_point::max();
 }
--- a/tests/membership/lease_test.cc
+++ b/tests/membership/lease_test.cc
@@ -22,10 +22,10 @@
 
 // Two relays of a zone, a leader and targets, in steps of 50 ms; messages take
 // one step, and some are lost.
-class membership_fixture {
+class membership_fixture : public control_listener {
  public:
   explicit membership_fixture(std::uint32_t targets, double loss = 0.0)
-      : loss_(loss) {
+      : state(this), loss_(loss) {
     control_command submit;
     submit.body = submit_document{
         CanonicalText(test::MakeDocument("desk", 1, 1)), "operator"};
@@ -58,6 +58,12 @@
     for (const time_point end = now_ + span; now_ < end; now_ += kStep) Step();
   }
 
+  void OnApplied(const command_outcome& outcome,
+                 const revision_changes&) override {
+    if (!outcome.refused.empty()) ++refusals;
+    judge.OnRefused(outcome.refused, now_);
+  }
+
   std::size_t members() const { return state.view().targets.size(); }
 
   std::map<std::uint32_t, std::unique_ptr<announcer>> targets;
@@ -65,6 +71,7 @@
   control_state state;
   loss_judge judge{loss_settings()};
   std::size_t doubted = 0;
+  std::size_t refusals = 0;
 
  private:
   static constexpr duration kStep = milliseconds(50);
@@ -107,6 +114,7 @@
     membership_answer answer;
     answer.number = received->number;
     answer.term = 1;
+    answer.refused = judge.RefusalsFor(*received, now_);
     answer.held_elsewhere = judge.OnReport(*received, state.view(), now_);
     if (IsLost()) return;
     relay->OnReportAnswer(*DecodeMembershipAnswer(Encode(answer)), now_);
@@ -149,6 +157,13 @@
   zone.StartTarget(0, 1000);
   zone.RunFor(seconds(5));
   zone.StartTarget(0, 10);
+  // Long before the earlier start's lease has run out.
+  zone.RunFor(seconds(8));
+  cr_expect(zone.refusals > 0);
+  const auto& members = zone.state.view().targets;
+  cr_expect(std::any_of(members.begin(), members.end(), [&](const auto& one) {
+    return one.second.started == zone.targets.at(0)->target().key.started;
+  }));
   zone.RunFor(seconds(15));
   cr_expect(zone.members() == 3);
 }
