Try failures on real processes: kills, a frozen leader, a lost disk, no control at all

Cause: the promises were tried on real processes for one dead balancer and one dead leader only. The command line adds and removes voters.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Entry points for a person: each installs what is missing, builds, then runs.
-.PHONY: build test demo bench soak format
+.PHONY: build test demo failures bench soak format
 BUILD ?= build
 
 build:
@@ -13,6 +13,11 @@
 demo: build
 	./tools/demo $(BUILD)
 
+# Real processes under kills, freezes, lost disks and racing operators.
+failures: build
+	./tools/race $(BUILD)
+	./tools/failures $(BUILD)
+
 bench: build
 	$(BUILD)/bin/tamaracklatch-bench
 
--- a/programs/tamaracklatch.cc
+++ b/programs/tamaracklatch.cc
@@ -41,6 +41,7 @@
   history SERVICE      accepted versions of a service's document
   drain SERVICE VM     let the targets on a VM take no new work for a service
   voters               the control VMs and who leads them
+  voters add|remove VM  change who votes, one VM at a time
   timeline FILE...     merge the time lines of several processes in causal order
   check FILE...        validate settings and documents without running them
 )";
--- a/src/daemon/commands.cc
+++ b/src/daemon/commands.cc
@@ -56,6 +56,9 @@
     return RunDrain(options, words[1], words[2], out, errors);
   if (command == "voters" && words.size() == 1)
     return RunGet(options, "/v1/voters", out, errors);
+  if (command == "voters" && words.size() == 3 &&
+      (words[1] == "add" || words[1] == "remove"))
+    return RunVoterChange(options, words[1], words[2], out, errors);
   return WrongUse(usage, errors);
 }
 
--- a/src/daemon/operator_commands.cc
+++ b/src/daemon/operator_commands.cc
@@ -148,4 +148,13 @@
   return PrintAnswer(answer, why, out, errors);
 }
 
+int RunVoterChange(const operator_options& options, const std::string& verb,
+                   const std::string& name, std::ostream& out,
+                   std::ostream& errors) {
+  failure why;
+  const auto answer = control_client(options).Send(
+      {"POST", "/v1/voters", verb + "=" + name, {}, ""}, &why);
+  return PrintAnswer(answer, why, out, errors);
+}
+
 }  // namespace tamaracklatch
--- a/src/daemon/operator_commands.h
+++ b/src/daemon/operator_commands.h
@@ -40,4 +40,10 @@
 int RunDrain(const operator_options& options, const std::string& service,
              const std::string& vm, std::ostream& out, std::ostream& errors);
 
+// Adds or removes a control VM from those that vote; `verb` is "add" or
+// "remove".
+int RunVoterChange(const operator_options& options, const std::string& verb,
+                   const std::string& name, std::ostream& out,
+                   std::ostream& errors);
+
 }  // namespace tamaracklatch
