Answer requests at the target daemon, over HTTP

Cause: the request plane existed as decisions only. A run whose first caller has left is sent with the request of a resend.

--- a/include/tamaracklatch/request/request_owner.h
+++ b/include/tamaracklatch/request/request_owner.h
@@ -119,8 +119,9 @@
   // --- Which buckets this daemon owns.
 
   // Revision `at` of the view gives the bucket to this daemon. `earlier` names
-  // every daemon that may own it by an older view, the latest last; with none,
-  // one that is gone is assumed.
+  // every daemon that may own it by an older view, the latest last. An empty id
+  // stands for those that can't be named, as an empty list does: they are taken
+  // for gone.
   void Own(std::uint32_t bucket, revision at, std::vector<target_id> earlier,
            wall_time now);
 
--- a/src/admission/admission_queue.cc
+++ b/src/admission/admission_queue.cc
@@ -147,6 +147,8 @@
   result_code Check(const admission_request& request, time_point now) const {
     const class_queue& own = classes[request.class_index];
     if (draining) return result_code::kDraining;
+    // Only a class that is gone allows its callers nothing.
+    if (own.limits().caller_limit == 0) return result_code::kClassUnknown;
     if (request.deadline <= now) return result_code::kDeadlinePassed;
     if (own.CountOf(request.caller) >= own.limits().caller_limit) {
       return result_code::kCallerLimit;
--- a/src/daemon/targetd.cc
+++ b/src/daemon/targetd.cc
@@ -9,6 +9,7 @@
 #include "daemon/envelope_socket.h"
 #include "daemon/membership_frame.h"
 #include "daemon/process_frame.h"
+#include "daemon/request_front.h"
 #include "daemon/target_datagrams.h"
 #include "daemon/target_relay.h"
 #include "daemon/view_agent.h"
@@ -89,12 +90,14 @@
     if (!owner_) return MeetOwnRecord();
     owner_->Apply(step, frame_.Now(), &actions_);
     Perform();
+    if (front_) front_->OnView(view_.node().view());
   }
 
   void OnViewReplaced(const cluster_view& view) override {
     if (!owner_) return MeetOwnRecord();
     owner_->Reset(view, frame_.Now(), &actions_);
     Perform();
+    if (front_) front_->OnView(view);
   }
 
   void OnServingAllowed() override { MeetOwnRecord(); }
@@ -154,6 +157,27 @@
     owner_->Reset(view_.node().view(), frame_.Now(), &actions_);
     if (stopping_) owner_->BeginDrain(frame_.Now());
     Perform();
+    StartRequests(own.self);
+  }
+
+  // Requests need the target's id, by which keys are owned.
+  void StartRequests(target_id self) {
+    if (!settings_.target.http) return;
+    request_front_settings made;
+    made.listen = settings_.requests;
+    made.target = *settings_.target.http;
+    made.slots = settings_.capacity;
+    made.key = settings_.process.link_key;
+    front_ = std::make_unique<request_front>(&frame_, made, self);
+    failure why;
+    if (!front_->Start(&why)) {
+      fmt::print(stderr, "{}\n", ToString(why));
+      front_.reset();
+      return;
+    }
+    front_->OnLease(announcer_.lease_end());
+    front_->OnView(view_.node().view());
+    if (stopping_) front_->Drain();
   }
 
   void OnEnvelope(const envelope& what) {
@@ -260,7 +284,8 @@
     frame_.counts().Set("tamaracklatch_packets_delivered",
                         "Packets handed to the target since the start.",
                         static_cast<double>(counts.delivered));
-    if (stopping_ && owner_->flow_count() == 0) Finish();
+    const bool idle = !front_ || front_->idle();
+    if (stopping_ && idle && owner_->flow_count() == 0) Finish();
   }
 
   // A view that the control quorum confirmed after the pull was asked for
@@ -309,6 +334,7 @@
     const auto* answer = std::get_if<lease_answer>(&*message);
     if (answer == nullptr) return;
     announcer_.OnAnswer(peer, *answer, frame_.Now());
+    if (front_) front_->OnLease(announcer_.lease_end());
     if (answer->code == last_refusal_) return;
     last_refusal_ = answer->code;
     if (answer->code == result_code::kOk) return;
@@ -327,6 +353,7 @@
     Announce();
     if (!owner_) return Finish();
     owner_->BeginDrain(frame_.Now());
+    if (front_) front_->Drain();
   }
 
   void Finish() {
@@ -345,7 +372,8 @@
   target_datagrams datagrams_;
   target_relay relay_;
   asio::ip::udp::socket encapsulated_;
-  std::unique_ptr<flow_owner> owner_;  // once the target has an id
+  std::unique_ptr<flow_owner> owner_;     // once the target has an id
+  std::unique_ptr<request_front> front_;  // where the target takes requests
   std::vector<owner_action> actions_;
   relay_answer relay_verdict_;           // of the opening being judged
   std::optional<time_point> pulled_at_;  // a pull that is not confirmed yet
--- a/src/request/bucket_fences.cc
+++ b/src/request/bucket_fences.cc
@@ -23,8 +23,9 @@
   if (state.owned) return;
   state.owned = true;
   state.since = at;
-  // Without an earlier owner to ask, one of long ago may have run the key.
-  state.some_gone = earlier.empty();
+  // Without an earlier owner to ask, or with one that has no name, one that is
+  // gone may have run the key.
+  state.some_gone = earlier.empty() || Remove(&earlier, target_id{});
   state.waiting = std::move(earlier);
   state.asked.clear();
   Raise(&state, now);
--- a/src/request/request_server.cc
+++ b/src/request/request_server.cc
@@ -237,7 +237,9 @@
     } else {
       ++counts.retries;
     }
-    actions.emplace_back(start_attempt{action.id, run.attempt, run.deadline});
+    // The request that began the run may have left; a resend says the same.
+    actions.emplace_back(
+        start_attempt{run.listeners.front(), run.attempt, run.deadline});
   }
 
   void Apply(const admission_pass& action, time_point /*now*/) {
