--- a/Makefile
+++ b/Makefile
@@ -13,10 +13,11 @@
 demo: build
 	./tools/demo $(BUILD)
 
-# Real processes under kills, freezes, lost disks and racing operators.
+# Real processes under kills, freezes, lost disks, racing operators and floods.
 failures: build
 	./tools/race $(BUILD)
 	./tools/failures $(BUILD)
+	./tools/flood $(BUILD)
 
 bench: build
 	$(BUILD)/bin/tamaracklatch-bench
