--- a/tests/consensus/schedule_world.cc
+++ b/tests/consensus/schedule_world.cc
@@ -17,6 +17,7 @@
 constexpr std::size_t kVmsBesideVoters = 2;  // to be added and removed
 constexpr duration kFastest = milliseconds(2);
 constexpr seconds kEndBound{240};  // for all VMs to agree once all is healed
+constexpr std::uint64_t kLateVotePercent = 50;
 constexpr std::uint64_t kReadId = std::uint64_t{1} << 62U;
 
 }  // namespace
@@ -128,7 +129,8 @@
   std::unique_ptr<consensus_runner> runner;  // none: it is down
   std::uint64_t life = 0;                    // counts starts
   std::optional<time_point> woken;           // the next wake-up in the queue
-  std::optional<member_id> last_vote;
+  bool voted = false;       // for another, by the input at hand
+  bool stood = false;       // for election, by the input at hand
   time_point paused_until;  // it is up, but its process does not run
   // What a VM that is down had.
   member_id last_self;
@@ -231,7 +233,27 @@
 
 // --- Messages ---
 
+// A member votes for one candidate in a term, over all of its lives.
+void schedule_world::CheckVote(const member_id& voter, log_term term,
+                               const member_id& candidate) {
+  const auto [found, fresh] =
+      book_.votes.emplace(std::make_pair(voter, term.value), candidate);
+  if (found->second == candidate) return;
+  book_.Break(fmt::format("{} voted twice in term {}", voter.name, term.value));
+}
+
 void schedule_world::Send(std::size_t from, const consensus_message& message) {
+  const auto* asked = std::get_if<vote_request>(&message.body);
+  const auto* given = std::get_if<vote_reply>(&message.body);
+  const bool stands = asked != nullptr && !asked->pre;
+  if (stands) {
+    vms_[from]->stood = true;
+    CheckVote(message.from, asked->term, message.from);
+  }
+  if (given != nullptr && given->granted && !given->pre) {
+    vms_[from]->voted = true;
+    CheckVote(message.from, given->term, message.to);
+  }
   const std::size_t to = static_cast<std::size_t>(message.to.name[0] - 'a');
   if (cut_.count({from, to}) != 0 || Chance(loss_percent_)) return;
   const int copies = Chance(repeat_percent_) ? 2 : 1;
@@ -243,8 +265,10 @@
     what.from = from;
     what.message = shared;
     // Each message has a delay of its own, so that they overtake each other.
-    const duration slowest =
-        Chance(late_percent_) ? 4 * settings_.election_timeout : slowest_;
+    const bool hunted = stands && kind_ == schedule_kind::kStorm;
+    const bool late =
+        !healed_ && Chance(hunted ? kLateVotePercent : late_percent_);
+    const duration slowest = late ? 4 * settings_.election_timeout : slowest_;
     Push(now_ + DrawBetween(kFastest, slowest), std::move(what));
   }
 }
@@ -279,13 +303,12 @@
 // A crash between a vote and all that comes after it.
 void schedule_world::CrashAfterVote(std::size_t index) {
   vm& one = *vms_[index];
-  const hard_state& hard = one.disk.durable.hard;
-  if (hard.vote == one.last_vote || !hard.vote) return;
-  one.last_vote = hard.vote;
-  const bool foreign = *hard.vote != one.runner->node().self();
+  const bool voted = one.voted;
+  const bool stood = one.stood;
+  one.voted = one.stood = false;
   if (healed_ || kind_ != schedule_kind::kStorm) return;
-  if (foreign && Chance(30)) Crash(index);
-  if (!foreign && Chance(30)) Pause(index);
+  if (voted && Chance(30)) Crash(index);
+  if (stood && Chance(30)) Pause(index);
 }
 
 void schedule_world::Pause(std::size_t index) {
@@ -331,6 +354,8 @@
       book_.Break(fmt::format("two leaders in term {}", node.term().value));
     }
     if (fresh && traced_) Trace(fmt::format("{} leads", one.name));
+    const bool storm = kind_ == schedule_kind::kStorm && !healed_;
+    if (fresh && storm && Chance(40)) Pause(index);
   }
   if (!node.confirmed()) return;
   revision& served = book_.served[one.name];
--- a/tests/consensus/schedule_world.h
+++ b/tests/consensus/schedule_world.h
@@ -33,11 +33,12 @@
 
 // The promises over all VMs.
 struct promise_book {
-  std::vector<accepted_command> history;       // by index
-  std::map<std::uint64_t, member_id> leaders;  // by term
-  std::map<vm_name, revision> served;          // newest applied when confirmed
-  revision acknowledged;                       // newest
-  std::string broken;                          // the first broken promise
+  std::vector<accepted_command> history;                           // by index
+  std::map<std::uint64_t, member_id> leaders;                      // by term
+  std::map<std::pair<member_id, std::uint64_t>, member_id> votes;  // in a term
+  std::map<vm_name, revision> served;  // newest applied when confirmed
+  revision acknowledged;               // newest
+  std::string broken;                  // the first broken promise
 
   void Break(const std::string& what) {
     if (broken.empty()) broken = what;
@@ -91,6 +92,8 @@
   void Happen(const happening& what);
   void Deliver(const happening& what);
   void Send(std::size_t from, const consensus_message& message);
+  void CheckVote(const member_id& voter, log_term term,
+                 const member_id& candidate);
   void Wake(std::size_t index);
   void Input(std::size_t index, const consensus_input& input);
   void Settle(std::size_t index);
