Give closed TCP flows the reset packets for both ends

Cause: closing an encapsulated TCP flow told the balancer, but neither end. Change: BuildTcpReset makes the IP packet with checksums; close_towards_target carries the one for the target, a kReset envelope the one for the caller, also where an unknown flow is reset. Tests: checksums and addresses of resets of both IP versions and directions; the stuck property asks that both ends get one. Conclusion: the daemons still have to send the two packets on.

--- a/include/tamaracklatch/flow/flow_owner.h
+++ b/include/tamaracklatch/flow/flow_owner.h
@@ -68,10 +68,12 @@
 struct close_towards_target {
   flow_key key;
   result_code why = result_code::kFlowEnded;
+  std::string reset;  // for encapsulated TCP the IP packet to deliver, or empty
 };
 
 // End the caller's side: reset a relayed connection; for packets a kReset
-// envelope to the balancer comes as an action of its own.
+// envelope to the balancer comes as an action of its own, with the IP packet
+// for the caller as payload where the flow is encapsulated TCP.
 struct close_towards_caller {
   flow_key key;
   result_code why = result_code::kFlowEnded;
--- a/include/tamaracklatch/flow/flow_router.h
+++ b/include/tamaracklatch/flow/flow_router.h
@@ -54,6 +54,8 @@
 struct reset_caller {
   flow_key key;
   target_id by;
+  std::string_view
+      bytes;  // for encapsulated TCP the IP packet to send, or empty
 };
 
 // The envelope changed the cache only, or was refused.
--- a/include/tamaracklatch/flow/packet.h
+++ b/include/tamaracklatch/flow/packet.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
 
 #include "tamaracklatch/core/endpoint.h"
@@ -42,4 +43,9 @@
 std::optional<parsed_packet> ParseIpPacket(std::string_view bytes,
                                            failure* last_failure);
 
+// An IP packet with a TCP reset for one end of the flow, checksums included.
+// `sequence` is what that end expects next.
+std::string BuildTcpReset(const flow_key& key, bool towards_caller,
+                          std::uint32_t sequence);
+
 }  // namespace tamaracklatch
--- a/src/flow/flow_owner.cc
+++ b/src/flow/flow_owner.cc
@@ -239,6 +239,14 @@
       reset.started = what->started;
       reset.key = what->key;
       reset.origin = what->origin;
+      const std::optional<parsed_packet> parsed =
+          ParseIpPacket(what->payload, nullptr);
+      if (parsed && parsed->tcp && !parsed->tcp->rst) {
+        held_packet kept;
+        kept.bytes = BuildTcpReset(what->key, true, parsed->tcp->acknowledged);
+        released_.push_back(std::move(kept));
+        reset.payload = released_.back().bytes;
+      }
       actions->push_back(send_envelope{what->origin, reset});
       return;
     }
@@ -922,7 +930,7 @@
       CloseBothEnds(slot, result_code::kFlowIdle, actions);
     } else {
       actions->push_back(
-          close_towards_target{entry.key, result_code::kFlowIdle});
+          close_towards_target{entry.key, result_code::kFlowIdle, {}});
       Forget(slot, result_code::kFlowIdle);
     }
     return;
@@ -956,7 +964,10 @@
 void flow_owner::CloseBothEnds(std::uint32_t slot, result_code why,
                                std::vector<owner_action>* actions) {
   const flow_entry& entry = flows_->At(slot);
-  actions->push_back(close_towards_target{entry.key, why});
+  std::string target_reset;
+  if (entry.tcp_seen)
+    target_reset = BuildTcpReset(entry.key, false, entry.next_sequence);
+  actions->push_back(close_towards_target{entry.key, why, target_reset});
   actions->push_back(close_towards_caller{entry.key, why});
   if (!entry.relayed) {
     envelope reset;
@@ -966,6 +977,12 @@
     reset.started = settings_.started;
     reset.key = entry.key;
     reset.origin = entry.origin;
+    if (entry.tcp_seen) {
+      held_packet kept;
+      kept.bytes = BuildTcpReset(entry.key, true, entry.acknowledged);
+      released_.push_back(std::move(kept));
+      reset.payload = released_.back().bytes;
+    }
     actions->push_back(send_envelope{entry.origin, reset});
   }
   Forget(slot, why);
--- a/src/flow/flow_router.cc
+++ b/src/flow/flow_router.cc
@@ -188,7 +188,7 @@
       return send_to_caller{what.key, what.payload};
     case envelope_kind::kReset:
       cache_->Remove(hash, what.target);
-      return reset_caller{what.key, what.target};
+      return reset_caller{what.key, what.target, what.payload};
     case envelope_kind::kPacket:
     case envelope_kind::kReport:
       break;
--- a/src/flow/packet.cc
+++ b/src/flow/packet.cc
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr std::size_t kWordBytes = 4;  // unit of header lengths
+constexpr std::uint8_t kHopsOfReset = 64;
+constexpr std::size_t kV4Offset = 12;  // of an IPv4 address in its mapped form
 
 // The part of a packet above IP.
 struct transport_part {
@@ -116,8 +118,79 @@
   return true;
 }
 
+// The Internet checksum (RFC 1071) of an even number of bytes.
+std::uint16_t Checksum(std::string_view bytes) {
+  std::uint32_t sum = 0;
+  for (std::size_t at = 0; at + 1 < bytes.size(); at += 2) {
+    sum +=
+        static_cast<std::uint32_t>(static_cast<std::uint8_t>(bytes[at]) << 8U) |
+        static_cast<std::uint8_t>(bytes[at + 1]);
+  }
+  while (sum >> 16U != 0) sum = (sum & 0xffffU) + (sum >> 16U);
+  return static_cast<std::uint16_t>(~sum);
+}
+
+template <typename Header>
+std::string BytesOf(const Header& header) {
+  return std::string(reinterpret_cast<const char*>(&header), sizeof(header));
+}
+
+// The part of the TCP checksum that stands for the IP header.
+std::string PseudoHeader(const std::string& addresses) {
+  constexpr std::uint16_t kNumbers[] = {sizeof(tcphdr), IPPROTO_TCP};
+  std::string pseudo = addresses;
+  for (const std::uint16_t number : kNumbers) {
+    pseudo.push_back(static_cast<char>(number >> 8U));
+    pseudo.push_back(static_cast<char>(number));
+  }
+  return pseudo;
+}
+
+std::string BuildIpHeader(bool v4, const std::string& addresses) {
+  if (v4) {
+    iphdr header{};
+    header.version = 4;
+    header.ihl = sizeof(header) / kWordBytes;
+    header.tot_len = htons(sizeof(header) + sizeof(tcphdr));
+    header.ttl = kHopsOfReset;
+    header.protocol = IPPROTO_TCP;
+    std::memcpy(&header.saddr, addresses.data(), addresses.size());
+    header.check = htons(Checksum(BytesOf(header)));
+    return BytesOf(header);
+  }
+  ip6_hdr header{};
+  header.ip6_vfc = 0x60;
+  header.ip6_plen = htons(sizeof(tcphdr));
+  header.ip6_nxt = IPPROTO_TCP;
+  header.ip6_hops = kHopsOfReset;
+  std::memcpy(&header.ip6_src, addresses.data(), addresses.size());
+  return BytesOf(header);
+}
+
 }  // namespace
 
+std::string BuildTcpReset(const flow_key& key, bool towards_caller,
+                          std::uint32_t sequence) {
+  const ip_address& source = towards_caller ? key.destination : key.source;
+  const ip_address& destination = towards_caller ? key.source : key.destination;
+  const bool v4 = source.IsV4();
+  std::string addresses;
+  for (const ip_address* address : {&source, &destination}) {
+    addresses.append(address->bytes.begin() + (v4 ? kV4Offset : 0),
+                     address->bytes.end());
+  }
+
+  tcphdr header{};
+  header.source =
+      htons(towards_caller ? key.destination_port : key.source_port);
+  header.dest = htons(towards_caller ? key.source_port : key.destination_port);
+  header.seq = htonl(sequence);
+  header.doff = sizeof(header) / kWordBytes;
+  header.th_flags = TH_RST;
+  header.check = htons(Checksum(PseudoHeader(addresses) + BytesOf(header)));
+  return BuildIpHeader(v4, addresses) + BytesOf(header);
+}
+
 std::optional<parsed_packet> ParseIpPacket(std::string_view bytes,
                                            failure* last_failure) {
   if (bytes.empty())
--- a/tests/flow/owner_test.cc
+++ b/tests/flow/owner_test.cc
@@ -74,6 +74,20 @@
         }));
   }
 
+  // Whether both ends were sent a TCP reset.
+  bool ResetsTcp() const {
+    bool target = false;
+    bool caller = false;
+    for (const owner_action& each : actions) {
+      if (const auto* close = std::get_if<close_towards_target>(&each))
+        target = target || !close->reset.empty();
+      const auto* sent = std::get_if<send_envelope>(&each);
+      if (sent != nullptr && sent->what.kind == envelope_kind::kReset)
+        caller = caller || !sent->what.payload.empty();
+    }
+    return target && caller;
+  }
+
   // Ticks until `end` or the first close; gives the time of the last tick.
   time_point TickUntilClosed(time_point from, time_point end) {
     time_point now = from;
@@ -185,6 +199,7 @@
           kind == silence::kDatagrams || kind == silence::kSegments;
       RC_ASSERT(alone.CountSent(envelope_kind::kReset) == (packets ? 1U : 0U));
       RC_ASSERT(alone.owner->flow_count() == 0U);
+      RC_ASSERT(alone.ResetsTcp() == (kind == silence::kSegments));
     });
   }
 }
--- a/tests/flow/packet_test.cc
+++ b/tests/flow/packet_test.cc
@@ -99,6 +99,43 @@
   }
 }
 
+// The sum over a sound header, its checksum included, is all ones.
+std::uint32_t SumOf(const std::string& bytes) {
+  std::uint32_t sum = 0;
+  for (std::size_t at = 0; at + 1 < bytes.size(); at += 2) {
+    sum +=
+        static_cast<std::uint32_t>(static_cast<std::uint8_t>(bytes[at]) << 8U) +
+        static_cast<std::uint8_t>(bytes[at + 1]);
+  }
+  while (sum >> 16U != 0) sum = (sum & 0xffffU) + (sum >> 16U);
+  return sum;
+}
+
+Test(packet, builds_resets_for_both_ends) {
+  for (const std::string& data : {V4(IPPROTO_TCP, Tcp(TH_ACK, "abc")),
+                                  V6(IPPROTO_TCP, Tcp(TH_ACK, "abc"))}) {
+    const flow_key key = ParseIpPacket(data, nullptr)->what.key;
+    for (const bool towards_caller : {true, false}) {
+      const std::string bytes = BuildTcpReset(key, towards_caller, 4321);
+      const auto reset = ParseIpPacket(bytes, nullptr);
+      cr_assert(reset && reset->tcp && reset->tcp->rst);
+      cr_assert(reset->tcp->sequence == 4321);
+      const flow_key& back = reset->what.key;
+      cr_assert(back.source == (towards_caller ? key.destination : key.source));
+      cr_assert(back.destination_port ==
+                (towards_caller ? key.source_port : key.destination_port));
+      const bool v4 = key.source.IsV4();
+      if (v4) cr_assert(SumOf(bytes.substr(0, 20)) == 0xffff);
+      // Addresses, length and protocol count with the TCP header.
+      const std::string addresses =
+          v4 ? bytes.substr(12, 8) : bytes.substr(8, 32);
+      const std::string counted = addresses + std::string("\0\x14\0\x06", 4) +
+                                  bytes.substr(v4 ? 20 : 40);
+      cr_assert(SumOf(counted) == 0xffff);
+    }
+  }
+}
+
 Test(packet, survives_any_bytes) {
   test::CheckProperty("no bytes crash the parser", [](std::string bytes) {
     if (!bytes.empty() && *rc::gen::arbitrary<bool>())
