--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 	./tools/flood $(BUILD)
 
 bench: build
-	$(BUILD)/bin/tamaracklatch-bench
+	$(BUILD)/bin/tamaracklatch-bench --json $(BUILD)/bench.json
 
 # make soak SEEDS=100000 FIRST=10001: more random schedules of the replicated log than continuous integration runs.
 SEEDS ?= 100000
--- a/src/daemon/balancerd.cc
+++ b/src/daemon/balancerd.cc
@@ -56,7 +56,8 @@
         relay_(&frame_, envelopes_.key(),
                [this](const flow_key& key) { return RouteConnection(key); }),
         encapsulated_(&frame_.loop(),
-                      [this](const endpoint&, std::string_view bytes) {
+                      [this](const endpoint& from, std::string_view bytes) {
+                        fabric_ = from;
                         OnEncapsulated(bytes);
                       }) {}
 
@@ -159,9 +160,12 @@
                         {key.source, key.source_port}, action.bytes);
   }
 
-  void Do(const reset_caller&) {
+  void Do(const reset_caller& action) {
     frame_.counts().Count("tamaracklatch_flows_reset_total",
                           "Flows that a target daemon said are gone.");
+    // The fabric carries the packet to the caller.
+    if (!action.bytes.empty() && fabric_)
+      encapsulated_.Send(*fabric_, action.bytes);
   }
 
   void CountRefused(result_code code) {
@@ -208,6 +212,7 @@
   balancer_ports ports_;
   balancer_relay relay_;
   udp_port encapsulated_;
+  std::optional<endpoint> fabric_;  // who sent the last encapsulated packet
   routed_packet routed_;
   bool stopping_ = false;
 };
--- a/src/daemon/targetd.cc
+++ b/src/daemon/targetd.cc
@@ -116,8 +116,12 @@
     return relay_verdict_;
   }
 
+  // A close that the owner asked for ends here while its actions are performed,
+  // and the owner must not be called then.
   void OnRelayEnded(const flow_key& key) override {
-    if (owner_) owner_->OnFlowEnded(key);
+    asio::post(frame_.loop(), [this, key] {
+      if (owner_) owner_->OnFlowEnded(key);
+    });
   }
 
  private:
@@ -214,6 +218,12 @@
     }
   }
 
+  // The target's kernel takes the packet from its FOU port.
+  void SendEncapsulated(std::string_view bytes) {
+    asio::error_code ignored;
+    encapsulated_.send(asio::buffer(bytes.data(), bytes.size()), 0, ignored);
+  }
+
   void Do(const send_envelope& action) {
     envelopes_.Send(action.to, action.what);
   }
@@ -221,6 +231,7 @@
   void Do(const close_towards_target& action) {
     datagrams_.Close(action.key);
     relay_.Close(action.key);
+    if (!action.reset.empty()) SendEncapsulated(action.reset);
   }
 
   void Do(const close_towards_caller& action) { relay_.Close(action.key); }
