Propose membership changes in one place

Cause: the judge of losses and an operator's drain each built the same log command. Change: both call ProposeMembership with the reply that they want; no change of behaviour. Conclusion: one place for the command.

--- a/src/daemon/control_api.cc
+++ b/src/daemon/control_api.cc
@@ -263,10 +263,15 @@
 }
 
 void control_api::ProposeMembership(const membership_batch& batch) {
+  ProposeMembership(batch, [](result_code, revision) {});
+}
+
+void control_api::ProposeMembership(const membership_batch& batch,
+                                    consensus_reply reply) {
   control_command command;
   command.tag = frame_->random()();
   command.body = batch;
-  consensus_->Propose(Encode(command), [](result_code, revision) {});
+  consensus_->Propose(Encode(command), std::move(reply));
 }
 
 void control_api::Drain(const std::string& service, const http_request& request,
@@ -290,11 +295,7 @@
         ErrorAnswer(kNotFound, result_code::kTargetUnknown,
                     fmt::format("no target of {} on {}", service, vm)));
   }
-  control_command command;
-  command.tag = frame_->random()();
-  command.body = batch;
-  consensus_->Propose(Encode(command), [reply](result_code code,
-                                               revision index) {
+  ProposeMembership(batch, [reply](result_code code, revision index) {
     if (code != result_code::kOk)
       return reply(ErrorAnswer(StatusOf(code), code, "draining again is safe"));
     nlohmann::json body = ResultJson(code);
--- a/src/daemon/control_api.h
+++ b/src/daemon/control_api.h
@@ -63,6 +63,7 @@
               const http_reply& reply);
   void Drain(const std::string& service, const http_request& request,
              const http_reply& reply);
+  void ProposeMembership(const membership_batch& batch, consensus_reply reply);
   void ChangeVoters(const http_request& request, const http_reply& reply);
   void ShowService(const std::string& service, const http_request& request,
                    const http_reply& reply);
