Declare the parts of direct return: roster, steering, document sets

Cause: on the users' platform the answers leave the target's VM directly, targets announce themselves, and one desired state replaces all documents; the product has no parts for that.

--- a/include/tamaracklatch/core/event_id.h
+++ b/include/tamaracklatch/core/event_id.h
@@ -15,7 +15,11 @@
   kProcessStopping = 1001,
   kProcessStopped = 1002,
   kAddressNotOpened = 1003,
+  kSettingsReloaded = 1004,
+  kSettingsRefused = 1005,
   kTimelineDropped = 1010,
+  kLogLinesDropped = 1011,
+  kProcessResumed = 1012,
 
   // transport: 1100 to 1199
   kLinkUp = 1100,
@@ -34,12 +38,18 @@
   kClusterJoined = 2008,
   kMemberWaiting = 2009,
   kClusterMismatch = 2010,
+  kVoterAdmitted = 2011,
+  kVoterRetired = 2012,
+  kStorageStalled = 2013,
 
   // control: 2100 to 2199
   kSubmissionAccepted = 2100,
   kSubmissionRefused = 2101,
   kInForceEverywhere = 2102,
   kNodeNotHeard = 2103,
+  kSetAccepted = 2110,
+  kSetRefused = 2111,
+  kSetApplied = 2112,
 
   // distribution: 2200 to 2299
   kRevisionApplied = 2200,
@@ -61,6 +71,14 @@
   kFlowClosed = 2401,
   kFlowRefused = 2402,
   kEnvelopeDropped = 2403,
+  kOpeningPlaced = 2450,
+  kOpeningPassed = 2451,
+  kFlowClaimed = 2452,
+  kClaimDropped = 2453,
+  kSearchStarted = 2454,
+  kSearchFailed = 2455,
+  kSegmentReset = 2456,
+  kFlowForgotten = 2457,
 
   // request: 2500 to 2599
   kRequestRefused = 2500,
@@ -68,6 +86,18 @@
   kKeyOutcomeUnknown = 2502,
   kSlotsChanged = 2503,
 
+  // roster: 2600 to 2699
+  kNodeJoined = 2600,
+  kNodeChanged = 2601,
+  kNodeSilent = 2602,
+  kNodeGone = 2603,
+  kHubLost = 2604,
+  kHubRegained = 2605,
+  kReadinessChanged = 2606,
+  kHeartbeatRefused = 2607,
+  kTargetChanged = 2608,
+  kViewConfirmed = 2609,
+
 };
 
 // The event's name as the catalogue writes it: "submission_accepted".
--- a/include/tamaracklatch/core/result_code.h
+++ b/include/tamaracklatch/core/result_code.h
@@ -61,6 +61,8 @@
   kServiceUnknown = 506,
   kAddressTaken = 507,
   kTargetUnknown = 520,
+  kSetInvalid = 530,
+  kSetSuperseded = 531,
   kCommandMalformed = 508,
   kSnapshotMalformed = 509,
   kTooManyWaiting = 510,
@@ -96,6 +98,15 @@
   kFlowIdle = 821,
   kFlowDrainLimit = 822,
   kFlowEnded = 823,
+  kRouteUnknown = 830,
+  kNoTarget = 831,
+  kSearchEnded = 832,
+  kNotThisTarget = 833,
+  kSegmentMalformed = 834,
+  kFlowLost = 835,
+  kTargetDraining = 836,
+  kTargetFull = 837,
+  kOtherTargetChosen = 838,
 
   // admission and request: 900 to 999
   kClassUnknown = 900,
@@ -123,6 +134,12 @@
   // daemon: 1100 to 1199
   kUsage = 1100,
   kBindFailed = 1101,
+
+  // roster: 1200 to 1299
+  kRosterMessageMalformed = 1200,
+  kHeartbeatMalformed = 1201,
+  kHeartbeatStale = 1202,
+  kHeartbeatForeign = 1203,
 };
 
 // The code's name as docs and answers write it: "version_conflict".
--- a/src/core/event_id.cc
+++ b/src/core/event_id.cc
@@ -89,6 +89,62 @@
       return "target_ejected";
     case event_id::kTargetRestored:
       return "target_restored";
+    case event_id::kSettingsReloaded:
+      return "settings_reloaded";
+    case event_id::kSettingsRefused:
+      return "settings_refused";
+    case event_id::kLogLinesDropped:
+      return "log_lines_dropped";
+    case event_id::kProcessResumed:
+      return "process_resumed";
+    case event_id::kVoterAdmitted:
+      return "voter_admitted";
+    case event_id::kVoterRetired:
+      return "voter_retired";
+    case event_id::kStorageStalled:
+      return "storage_stalled";
+    case event_id::kSetAccepted:
+      return "set_accepted";
+    case event_id::kSetRefused:
+      return "set_refused";
+    case event_id::kSetApplied:
+      return "set_applied";
+    case event_id::kOpeningPlaced:
+      return "opening_placed";
+    case event_id::kOpeningPassed:
+      return "opening_passed";
+    case event_id::kFlowClaimed:
+      return "flow_claimed";
+    case event_id::kClaimDropped:
+      return "claim_dropped";
+    case event_id::kSearchStarted:
+      return "search_started";
+    case event_id::kSearchFailed:
+      return "search_failed";
+    case event_id::kSegmentReset:
+      return "segment_reset";
+    case event_id::kFlowForgotten:
+      return "flow_forgotten";
+    case event_id::kNodeJoined:
+      return "node_joined";
+    case event_id::kNodeChanged:
+      return "node_changed";
+    case event_id::kNodeSilent:
+      return "node_silent";
+    case event_id::kNodeGone:
+      return "node_gone";
+    case event_id::kHubLost:
+      return "hub_lost";
+    case event_id::kHubRegained:
+      return "hub_regained";
+    case event_id::kReadinessChanged:
+      return "readiness_changed";
+    case event_id::kHeartbeatRefused:
+      return "heartbeat_refused";
+    case event_id::kTargetChanged:
+      return "target_changed";
+    case event_id::kViewConfirmed:
+      return "view_confirmed";
   }
   return "unknown";
 }
--- a/src/core/result_code.cc
+++ b/src/core/result_code.cc
@@ -187,6 +187,36 @@
       return "usage";
     case result_code::kBindFailed:
       return "bind_failed";
+    case result_code::kSetInvalid:
+      return "set_invalid";
+    case result_code::kSetSuperseded:
+      return "set_superseded";
+    case result_code::kRouteUnknown:
+      return "route_unknown";
+    case result_code::kNoTarget:
+      return "no_target";
+    case result_code::kSearchEnded:
+      return "search_ended";
+    case result_code::kNotThisTarget:
+      return "not_this_target";
+    case result_code::kSegmentMalformed:
+      return "segment_malformed";
+    case result_code::kFlowLost:
+      return "flow_lost";
+    case result_code::kTargetDraining:
+      return "target_draining";
+    case result_code::kTargetFull:
+      return "target_full";
+    case result_code::kOtherTargetChosen:
+      return "other_target_chosen";
+    case result_code::kRosterMessageMalformed:
+      return "roster_message_malformed";
+    case result_code::kHeartbeatMalformed:
+      return "heartbeat_malformed";
+    case result_code::kHeartbeatStale:
+      return "heartbeat_stale";
+    case result_code::kHeartbeatForeign:
+      return "heartbeat_foreign";
   }
   return "unknown";
 }
