--- a/src/daemon/process_frame.cc
+++ b/src/daemon/process_frame.cc
@@ -78,6 +78,7 @@
                              process_role role)
     : settings_(settings),
       signals_(loop_, SIGTERM, SIGINT),
+      reload_signals_(loop_),
       random_(RandomNumber()),
       counts_(settings.name, settings.zone) {
   StartLog(LevelName(settings.level));
@@ -99,8 +100,8 @@
     if (handler) return handler(request, reply);
     reply({404, "text/plain", {}, "no such page\n"});
   };
-  http_ = std::make_unique<http_server>(&loop_, serve);
-  return http_->Start(where, last_failure);
+  http_.push_back(std::make_unique<http_server>(&loop_, serve));
+  return http_.back()->Start(where, last_failure);
 }
 
 void process_frame::Run(std::function<void()> on_stop) {
@@ -124,6 +125,22 @@
 
 void process_frame::Stop() { loop_.stop(); }
 
+void process_frame::OnReload(std::function<void()> work) {
+  const bool first = !on_reload_;
+  on_reload_ = std::move(work);
+  if (!first) return;
+  reload_signals_.add(SIGHUP);
+  WaitForReload();
+}
+
+void process_frame::WaitForReload() {
+  reload_signals_.async_wait([this](asio::error_code error, int) {
+    if (error) return;
+    on_reload_();
+    WaitForReload();
+  });
+}
+
 void process_frame::Every(std::chrono::milliseconds interval,
                           std::function<void()> work) {
   tickers_.push_back(
--- a/src/daemon/process_frame.h
+++ b/src/daemon/process_frame.h
@@ -39,7 +39,7 @@
   process_frame& operator=(const process_frame&) = delete;
 
   // Serves /metrics at `where`, and everything else by `handler`, which may be
-  // empty.
+  // empty. May be called for several endpoints.
   bool ServeHttp(const endpoint& where, http_handler handler,
                  failure* last_failure);
 
@@ -48,6 +48,9 @@
   void Run(std::function<void()> on_stop);
   void Stop();
 
+  // Calls `work` on each SIGHUP.
+  void OnReload(std::function<void()> work);
+
   // Calls `work` every `interval` for as long as the process runs.
   void Every(std::chrono::milliseconds interval, std::function<void()> work);
 
@@ -65,9 +68,12 @@
  private:
   struct ticker;
 
+  void WaitForReload();
+
   process_settings settings_;
   asio::io_context loop_;
   asio::signal_set signals_;
+  asio::signal_set reload_signals_;
   random_source random_;
   metrics counts_;
   process_clock clock_;
@@ -75,9 +81,10 @@
       timeline_;  // null where the settings name no file
   std::unique_ptr<event_log> log_;
   link_settings links_;
-  std::unique_ptr<http_server> http_;
+  std::vector<std::unique_ptr<http_server>> http_;
   std::vector<std::unique_ptr<ticker>> tickers_;
   std::function<void()> on_stop_;
+  std::function<void()> on_reload_;
   bool stopping_ = false;
 };
 
--- /dev/null
+++ b/src/daemon/roster_agent.cc
@@ -0,0 +1,110 @@
+// Running the roster's machines on the event loop.
+#include "daemon/roster_agent.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "tamaracklatch/roster/roster_message_kind.h"
+
+namespace tamaracklatch {
+
+roster_agent::roster_agent(process_frame* frame,
+                           const roster_member_settings& settings,
+                           const node_record& own, roster_listener* listener,
+                           segment_handler on_segment)
+    : frame_(frame),
+      listener_(listener),
+      on_segment_(std::move(on_segment)),
+      member_(settings, own, frame->Now()),
+      port_(&frame->loop(),
+            [this](const endpoint& from, std::string_view bytes) {
+              OnDatagram(from, bytes);
+            }),
+      timer_(frame->loop()) {}
+
+void roster_agent::AddHub(const roster_hub_settings& settings) {
+  hub_ = std::make_unique<roster_hub>(settings, frame_->random()(),
+                                      frame_->Now(), &frame_->events());
+}
+
+bool roster_agent::Start(failure* last_failure) {
+  if (!port_.Start(member_.own().where, port_sharing::kAlone, last_failure))
+    return false;
+  OnTimer();
+  return true;
+}
+
+void roster_agent::SetOwn(const node_record& record) {
+  Perform(member_.SetOwn(record, frame_->Now()));
+  Schedule();
+}
+
+void roster_agent::SetDocuments(std::uint64_t version, std::string bytes) {
+  hub_->SetDocuments(version, std::move(bytes), frame_->Now());
+  Schedule();
+}
+
+void roster_agent::OnQuorumConfirmed(std::uint64_t version, time_point asked) {
+  hub_->OnQuorumConfirmed(version, asked);
+}
+
+void roster_agent::OnDatagram(const endpoint& from, std::string_view bytes) {
+  if (!IsRosterMessage(bytes)) {
+    if (on_segment_) on_segment_(from, bytes);
+    return;
+  }
+  const time_point now = frame_->Now();
+  if (!IsForHub(bytes)) {
+    Perform(member_.OnMessage(from, bytes, now));
+  } else if (hub_) {
+    SendAll(hub_->OnMessage(from, bytes, now));
+  }
+  Schedule();
+}
+
+void roster_agent::Perform(const roster_member::actions& actions) {
+  for (const roster_action& action : actions) {
+    std::visit([this](const auto& each) { Do(each); }, action);
+  }
+}
+
+void roster_agent::Do(const roster_send& action) {
+  port_.Send(action.to, action.bytes);
+}
+
+void roster_agent::Do(const roster_changed& action) {
+  listener_->OnRosterChanged(action.entry);
+}
+
+void roster_agent::Do(const set_received& action) {
+  listener_->OnSetReceived(action.set);
+}
+
+void roster_agent::Do(const roster_report& action) {
+  frame_->events().OnEvent(action.what);
+}
+
+void roster_agent::SendAll(const roster_hub::sends& sends) {
+  for (const roster_send& each : sends) port_.Send(each.to, each.bytes);
+}
+
+void roster_agent::Schedule() {
+  time_point wake = member_.next_wake();
+  if (hub_) wake = std::min(wake, hub_->next_wake());
+  if (wake == armed_) return;
+  armed_ = wake;
+  timer_.expires_after(std::max(wake - frame_->Now(), duration::zero()));
+  timer_.async_wait([this](asio::error_code error) {
+    if (!error) OnTimer();
+  });
+}
+
+void roster_agent::OnTimer() {
+  armed_ = time_point::max();
+  const time_point now = frame_->Now();
+  Perform(member_.OnTick(now));
+  if (hub_) SendAll(hub_->OnTick(now));
+  Schedule();
+}
+
+}  // namespace tamaracklatch
--- /dev/null
+++ b/src/daemon/steering_balancer.cc
@@ -0,0 +1,179 @@
+// Moving bytes between callers, the segment_router and target daemons.
+#include "daemon/steering_balancer.h"
+
+#include <fmt/format.h>
+
+#include <cstdio>
+#include <utility>
+
+#include "tamaracklatch/steering/steering_header.h"
+
+namespace tamaracklatch {
+namespace {
+
+constexpr std::chrono::milliseconds kCheckInterval{
+    100};  // between looks at readiness and the end of a stop
+// A stop lasts at least this long: the fabric must notice first.
+constexpr std::chrono::milliseconds kLeastStop{1600};
+// A stop ends once no segment came for this long.
+constexpr std::chrono::milliseconds kQuietStop{300};
+
+roster_member_settings MemberSettings(
+    const steering_balancer_settings& settings) {
+  roster_member_settings result;
+  result.seeds = settings.seeds;
+  result.wants_set = true;
+  return result;
+}
+
+node_record OwnRecord(const steering_balancer_settings& settings,
+                      const process_frame& frame) {
+  node_record result;
+  result.where = settings.cluster;
+  result.generation =
+      static_cast<std::uint64_t>(frame.WallNow().time_since_epoch().count());
+  result.role = node_role::kBalancer;
+  result.zone = settings.process.zone;
+  return result;
+}
+
+segment_router_settings RouterSettings(
+    const steering_balancer_settings& settings) {
+  segment_router_settings result;
+  result.self = settings.cluster;
+  result.zone = settings.process.zone;
+  result.max_flow_age = settings.max_flow_age;
+  return result;
+}
+
+}  // namespace
+
+steering_balancer::steering_balancer(const steering_balancer_settings& settings,
+                                     const segment_codec* codec)
+    : settings_(settings),
+      codec_(codec),
+      frame_(settings.process, process_role::kBalancer),
+      roster_(&frame_, MemberSettings(settings), OwnRecord(settings, frame_),
+              this,
+              [this](const endpoint& from, std::string_view bytes) {
+                OnHint(from, bytes);
+              }),
+      router_(RouterSettings(settings), &frame_.events()),
+      ingress_(&frame_.loop(),
+               [this](const endpoint& from, std::string_view bytes) {
+                 OnSegment(from, bytes);
+               }) {}
+
+int steering_balancer::Run(http_handler handler) {
+  failure why;
+  const bool started =
+      frame_.ServeHttp(settings_.listen_http, std::move(handler), &why) &&
+      ingress_.Start(settings_.ingress, port_sharing::kAlone, &why) &&
+      roster_.Start(&why);
+  if (!started) {
+    fmt::print(stderr, "{}\n", ToString(why));
+    return 1;
+  }
+  frame_.Every(kCheckInterval, [this] { Check(); });
+  frame_.Run([this] { BeginStop(); });
+  return 0;
+}
+
+void steering_balancer::OnRosterChanged(const roster_entry& entry) {
+  if (entry.record.role == node_role::kTarget)
+    router_.UpdateTarget(entry, frame_.Now());
+}
+
+void steering_balancer::OnSetReceived(const document_set& set) {
+  router_.SetRoutes(set, frame_.Now());
+  event what;
+  what.id = event_id::kSetApplied;
+  what.detail =
+      fmt::format("version {}, {} routes", set.version, set.routes.size());
+  frame_.events().OnEvent(what);
+}
+
+void steering_balancer::OnSegment(const endpoint&, std::string_view bytes) {
+  failure why;
+  const auto what = codec_->Decode(bytes, false, &why);
+  if (!what) return CountRefused(why.code);
+  const time_point now = frame_.Now();
+  last_segment_ = now;
+  const steering_decision decision = router_.Route(*what, now);
+  std::visit([&](const auto& each) { Do(each, *what); }, decision);
+}
+
+void steering_balancer::Do(const forward_segment& action, const segment& what) {
+  buffer_.clear();
+  AppendSteeringHeader(action.header, &buffer_);
+  buffer_.append(what.bytes);
+  roster_.Send(action.to, buffer_);
+}
+
+void steering_balancer::Do(const refuse_segment& action, const segment& what) {
+  CountRefused(action.why);
+  // A reset of the caller's own is answered by nothing.
+  if (what.tcp.rst) return;
+  ingress_.Send({what.key.source, settings_.caller_port},
+                codec_->BuildReset(what));
+}
+
+void steering_balancer::Do(const drop_segment& action, const segment&) {
+  CountRefused(action.why);
+}
+
+void steering_balancer::CountRefused(result_code code) {
+  frame_.counts().Count("tamaracklatch_segments_refused_total",
+                        "Segments that were not forwarded, by reason.", 1.0,
+                        std::string(ToString(code)));
+}
+
+void steering_balancer::OnHint(const endpoint& from, std::string_view bytes) {
+  failure why;
+  std::string_view rest;
+  const auto header = ReadSteeringHeader(bytes, &rest, &why);
+  if (!header) return CountRefused(why.code);
+  router_.OnOwner(*header, from, frame_.Now());
+}
+
+bool steering_balancer::IsViewConfirmed(time_point now) const {
+  const auto confirmed = roster_.member().confirmed();
+  return confirmed && now - *confirmed < settings_.propagation_limit / 2;
+}
+
+void steering_balancer::Check() {
+  const time_point now = frame_.Now();
+  const bool confirmed = IsViewConfirmed(now);
+  router_.SetConfirmed(confirmed);
+  if (stopping_) {
+    const bool waited = now - *stopping_ >= kLeastStop;
+    const bool quiet = now - last_segment_ >= kQuietStop;
+    if ((waited && quiet) || now - *stopping_ >= settings_.stop_limit)
+      frame_.Stop();
+    return;
+  }
+  const bool has_view = roster_.member().set().version != 0 && confirmed &&
+                        roster_.member().IsInTouch(now);
+  // A view that was confirmed once stays good enough to serve by.
+  if (has_view || was_ready_) SetReady(true, "the view is confirmed");
+}
+
+void steering_balancer::SetReady(bool ready, const std::string& why) {
+  if (ready == ready_) return;
+  ready_ = ready;
+  was_ready_ = was_ready_ || ready;
+  event what;
+  what.id = event_id::kReadinessChanged;
+  what.detail = fmt::format("{}: {}", ready ? "ready" : "not ready", why);
+  frame_.events().OnEvent(what);
+}
+
+void steering_balancer::BeginStop() {
+  stopping_ = frame_.Now();
+  SetReady(false, "a graceful stop has begun");
+  node_record own = roster_.member().own();
+  own.leaving = true;
+  roster_.SetOwn(own);
+}
+
+}  // namespace tamaracklatch
--- /dev/null
+++ b/src/daemon/steering_control.cc
@@ -0,0 +1,227 @@
+// Wiring of the log, the roster's hub and the operators' door.
+#include "daemon/steering_control.h"
+
+#include <fmt/format.h>
+
+#include <cstdio>
+#include <utility>
+
+namespace tamaracklatch {
+namespace {
+
+constexpr std::chrono::milliseconds kTickInterval{
+    50};  // between looks at what waits
+constexpr std::chrono::milliseconds kConfirmInterval{
+    250};  // between questions whether the set held is the newest
+
+consensus_agent_settings ConsensusSettings(
+    const steering_control_settings& settings) {
+  consensus_agent_settings result;
+  result.data_folder = settings.process.data_folder;
+  result.consensus.name = settings.process.name;
+  bool is_seed = false;
+  for (const endpoint& seed : settings.seeds) {
+    is_seed = is_seed || seed == settings.cluster;
+    if (seed != settings.cluster)
+      result.consensus.peers.push_back(ToString(seed));
+  }
+  if (settings.founds && is_seed) {
+    for (const endpoint& seed : settings.seeds)
+      result.consensus.founders.push_back(ToString(seed));
+  }
+  result.consensus.voter_goal = 2 * settings.tolerated_losses + 1;
+  // A name is the text of the VM's own endpoint.
+  result.resolve = [](const vm_name& name) {
+    return ParseEndpoint(name, nullptr);
+  };
+  return result;
+}
+
+roster_member_settings MemberSettings(
+    const steering_control_settings& settings) {
+  roster_member_settings result;
+  result.seeds = settings.seeds;
+  return result;
+}
+
+node_record OwnRecord(const steering_control_settings& settings,
+                      const process_frame& frame) {
+  node_record result;
+  result.where = settings.cluster;
+  result.generation =
+      static_cast<std::uint64_t>(frame.WallNow().time_since_epoch().count());
+  result.role = node_role::kControl;
+  result.zone = settings.process.zone;
+  result.operators = settings.listen_http;
+  return result;
+}
+
+}  // namespace
+
+steering_control::steering_control(const steering_control_settings& settings)
+    : settings_(settings),
+      frame_(settings.process, process_role::kControl),
+      hub_(&frame_.loop(), frame_.links(), &frame_.clock(), &frame_.events()),
+      state_(this),
+      consensus_(&frame_, &hub_, ConsensusSettings(settings), this),
+      roster_(&frame_, MemberSettings(settings), OwnRecord(settings, frame_),
+              this, {}),
+      gate_({}, &state_, frame_.random()()) {
+  roster_.AddHub({});
+}
+
+int steering_control::Run(http_handler handler) {
+  failure why;
+  const bool started =
+      consensus_.Start(&why) && hub_.Listen(settings_.cluster, &why) &&
+      frame_.ServeHttp(settings_.listen_http, std::move(handler), &why) &&
+      roster_.Start(&why);
+  if (!started) {
+    fmt::print(stderr, "{}\n", ToString(why));
+    return 1;
+  }
+  frame_.Every(kTickInterval, [this] { Tick(); });
+  frame_.Every(kConfirmInterval, [this] { ConfirmSet(); });
+  frame_.Run([this] { frame_.Stop(); });
+  return 0;
+}
+
+log_standing steering_control::Standing() const {
+  log_standing result;
+  result.is_leader = consensus_.node().role() == consensus_role::kLeader;
+  const auto& leader = consensus_.node().leader();
+  if (!result.is_leader && leader && leader->name != settings_.process.name)
+    result.leader = leader->name;
+  return result;
+}
+
+void steering_control::Order(const set_order& order, set_answer_handler reply) {
+  const std::uint64_t request = next_request_++;
+  orders_[request] = std::move(reply);
+  Perform(gate_.Order(request, order, Standing(), frame_.Now()));
+}
+
+void steering_control::Read(set_read_handler reply) {
+  const std::uint64_t request = next_request_++;
+  reads_[request] = std::move(reply);
+  Perform(gate_.Read(request, frame_.Now()));
+}
+
+void steering_control::TellRefused(const std::vector<failure>& failures) {
+  event what;
+  what.id = event_id::kSetRefused;
+  what.code = result_code::kSetInvalid;
+  if (!failures.empty())
+    what.detail = fmt::format("{} faults; first: {}", failures.size(),
+                              failures.front().reason);
+  frame_.events().OnEvent(what);
+}
+
+std::optional<endpoint> steering_control::OperatorsOf(
+    const vm_name& name) const {
+  const auto where = ParseEndpoint(name, nullptr);
+  if (!where) return std::nullopt;
+  const auto& entries = roster_.member().entries();
+  const auto found = entries.find(*where);
+  if (found == entries.end() || found->second.record.operators.port == 0)
+    return std::nullopt;
+  return found->second.record.operators;
+}
+
+// A control VM that is no member finds the others by what the roster tells.
+void steering_control::OnRosterChanged(const roster_entry& entry) {
+  if (entry.record.role != node_role::kControl) return;
+  if (entry.record.where == settings_.cluster) return;
+  consensus_.LearnPeers({ToString(entry.record.where)});
+}
+
+void steering_control::Apply(revision index, std::string_view command) {
+  state_.Apply(index, command);
+}
+
+bool steering_control::Restore(std::string_view snapshot,
+                               failure* last_failure) {
+  if (!state_.Restore(snapshot, last_failure)) return false;
+  PublishSet();
+  Perform(gate_.OnRestored());
+  return true;
+}
+
+void steering_control::OnApplied(const command_outcome& outcome,
+                                 const revision_changes&) {
+  PublishSet();
+  Perform(gate_.OnApplied(outcome));
+}
+
+void steering_control::PublishSet() {
+  const auto& held = state_.documents();
+  if (!held || held->version <= published_) return;
+  published_ = held->version;
+  roster_.SetDocuments(held->version, held->encoded_set);
+  event what;
+  what.id = event_id::kSetApplied;
+  what.detail = fmt::format("version {}", held->version);
+  frame_.events().OnEvent(what);
+}
+
+// What the quorum confirms to a read was true when the read was asked.
+void steering_control::ConfirmSet() {
+  const time_point asked = frame_.Now();
+  consensus_.Read([this, asked](result_code code, revision) {
+    if (code == result_code::kOk) roster_.OnQuorumConfirmed(published_, asked);
+  });
+}
+
+void steering_control::Perform(const set_gate::actions& actions) {
+  for (const set_action& action : actions) {
+    std::visit([this](const auto& each) { Do(each); }, action);
+  }
+}
+
+void steering_control::Do(const set_answer& action) {
+  const auto found = orders_.find(action.request);
+  if (found == orders_.end()) return;
+  const set_answer_handler reply = std::move(found->second);
+  orders_.erase(found);
+  event what;
+  what.id = action.code == result_code::kOk ? event_id::kSetAccepted
+                                            : event_id::kSetRefused;
+  what.code = action.code;
+  what.detail =
+      fmt::format("version {}, held {}", action.version, action.held_version);
+  frame_.events().OnEvent(what);
+  reply(action);
+}
+
+void steering_control::Do(const set_read_answer& action) {
+  const auto found = reads_.find(action.request);
+  if (found == reads_.end()) return;
+  const set_read_handler reply = std::move(found->second);
+  reads_.erase(found);
+  reply(action);
+}
+
+void steering_control::Do(const propose_command& action) {
+  const std::uint64_t tag = action.command.tag;
+  consensus_.Propose(Encode(action.command), [this, tag](result_code code,
+                                                         revision) {
+    if (code == result_code::kOk) return;
+    Perform(gate_.OnProposalRefused(tag, {code, "the log did not take it"}));
+  });
+}
+
+void steering_control::Do(const ask_read_index& action) {
+  const std::uint64_t tag = action.tag;
+  consensus_.Read([this, tag](result_code code, revision) {
+    Perform(gate_.OnReadIndex(tag, code));
+  });
+}
+
+void steering_control::Tick() {
+  const bool leads = consensus_.node().role() == consensus_role::kLeader;
+  if (led_ && !leads) Perform(gate_.OnLeadershipLost());
+  led_ = leads;
+  Perform(gate_.OnTick(frame_.Now()));
+}
+
+}  // namespace tamaracklatch
--- /dev/null
+++ b/src/daemon/steering_control.h
@@ -0,0 +1,90 @@
+// The control VM of an installation whose desired state is one document set: a
+// voter of the replicated log that heals its own group, a hub of the roster,
+// and the operators' door for sets. The calls come from an adapter.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "daemon/consensus_agent.h"
+#include "daemon/process_frame.h"
+#include "daemon/roster_agent.h"
+#include "tamaracklatch/control/control_state.h"
+#include "tamaracklatch/control/set_gate.h"
+#include "transport/link_hub.h"
+
+namespace tamaracklatch {
+
+struct steering_control_settings {
+  process_settings process;     // named by the text of `cluster`
+  endpoint cluster;             // UDP: roster; TCP: links of the log
+  endpoint listen_http;         // TCP: calls that the adapter answers, metrics
+  std::vector<endpoint> seeds;  // cluster endpoints of control VMs
+  bool founds = false;  // the first start of all; the seeds found the log
+  std::uint32_t tolerated_losses = 1;  // of control VMs at once
+};
+
+// An operator's answer, as the adapter writes it.
+using set_answer_handler = std::function<void(const set_answer&)>;
+using set_read_handler = std::function<void(const set_read_answer&)>;
+
+class steering_control : public roster_listener,
+                         public control_listener,
+                         public replicated_state_machine {
+ public:
+  explicit steering_control(const steering_control_settings& settings);
+
+  // Runs until a stop; returns the exit code. `handler` answers HTTP calls.
+  int Run(http_handler handler);
+
+  // An operator replaces the set.
+  void Order(const set_order& order, set_answer_handler reply);
+  // An operator asks for the newest set.
+  void Read(set_read_handler reply);
+  // Tells of an order that the adapter refused.
+  void TellRefused(const std::vector<failure>& failures);
+
+  // Where the operators reach the control VM of that name, if it is known.
+  std::optional<endpoint> OperatorsOf(const vm_name& name) const;
+
+  process_frame& frame() { return frame_; }
+  roster_agent& roster() { return roster_; }
+
+  void OnRosterChanged(const roster_entry& entry) override;
+  void OnSetReceived(const document_set&) override {}
+
+  void OnApplied(const command_outcome& outcome,
+                 const revision_changes& changes) override;
+
+  void Apply(revision index, std::string_view command) override;
+  std::string Snapshot() override { return state_.Snapshot(); }
+  bool Restore(std::string_view snapshot, failure* last_failure) override;
+
+ private:
+  log_standing Standing() const;
+  void Perform(const set_gate::actions& actions);
+  void Do(const set_answer& action);
+  void Do(const set_read_answer& action);
+  void Do(const propose_command& action);
+  void Do(const ask_read_index& action);
+  void PublishSet();
+  void ConfirmSet();
+  void Tick();
+
+  steering_control_settings settings_;
+  process_frame frame_;
+  link_hub hub_;
+  control_state state_;
+  consensus_agent consensus_;
+  roster_agent roster_;
+  set_gate gate_;
+  std::map<std::uint64_t, set_answer_handler> orders_;  // by request
+  std::map<std::uint64_t, set_read_handler> reads_;     // by request
+  std::uint64_t next_request_ = 1;
+  std::uint64_t published_ = 0;  // version told to the roster
+  bool led_ = false;             // at the last look
+};
+
+}  // namespace tamaracklatch
--- /dev/null
+++ b/src/daemon/steering_target.cc
@@ -0,0 +1,252 @@
+// Moving bytes between balancers, the segment_owner, the target and callers.
+#include "daemon/steering_target.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+#include "tamaracklatch/steering/steering_header.h"
+
+namespace tamaracklatch {
+namespace {
+
+constexpr std::chrono::milliseconds kTickInterval{
+    50};  // between looks at what expires
+// A stop beside a target that has ended lasts this long: the last announcement
+// is repeated in it.
+constexpr std::chrono::milliseconds kStopAfterTarget{250};
+// A stop beside a living target: openings in progress come to their end.
+constexpr std::chrono::milliseconds kStopBesideTarget{1000};
+
+roster_member_settings MemberSettings(
+    const steering_target_settings& settings) {
+  roster_member_settings result;
+  result.seeds = settings.seeds;
+  return result;
+}
+
+node_record OwnRecord(const steering_target_settings& settings,
+                      const process_frame& frame) {
+  node_record result;
+  result.where = settings.cluster;
+  result.generation =
+      static_cast<std::uint64_t>(frame.WallNow().time_since_epoch().count());
+  result.role = node_role::kTarget;
+  result.zone = settings.process.zone;
+  result.service = settings.service;
+  return result;
+}
+
+segment_owner_settings OwnerSettings(const steering_target_settings& settings) {
+  segment_owner_settings result;
+  result.self = settings.cluster;
+  result.service = settings.service;
+  result.zone = settings.process.zone;
+  result.max_flow_age = settings.max_flow_age;
+  return result;
+}
+
+const char* ToString(target_condition condition) {
+  switch (condition) {
+    case target_condition::kAbsent:
+      return "absent";
+    case target_condition::kReady:
+      return "ready";
+    case target_condition::kDraining:
+      return "draining";
+  }
+  return "absent";
+}
+
+}  // namespace
+
+steering_target::steering_target(const steering_target_settings& settings,
+                                 const segment_codec* codec)
+    : settings_(settings),
+      codec_(codec),
+      frame_(settings.process, process_role::kTarget),
+      roster_(&frame_, MemberSettings(settings), OwnRecord(settings, frame_),
+              this,
+              [this](const endpoint&, std::string_view bytes) {
+                OnSteered(bytes);
+              }),
+      reports_({settings.service, settings.target, settings.report_silence}),
+      owner_(OwnerSettings(settings), codec, frame_.Now(), &frame_.events()),
+      outbound_(&frame_.loop(),
+                [this](const endpoint&, std::string_view bytes) {
+                  OnOutbound(bytes);
+                }) {}
+
+int steering_target::Run(const http_handler& handler) {
+  failure why;
+  const bool started =
+      frame_.ServeHttp(settings_.listen_http, handler, &why) &&
+      (settings_.listen_ready.port == 0 ||
+       frame_.ServeHttp(settings_.listen_ready, handler, &why)) &&
+      outbound_.Start(settings_.outbound, port_sharing::kAlone, &why) &&
+      roster_.Start(&why);
+  if (!started) {
+    fmt::print(stderr, "{}\n", ToString(why));
+    return 1;
+  }
+  frame_.Every(kTickInterval, [this] { Tick(); });
+  frame_.Run([this] { BeginStop(); });
+  return 0;
+}
+
+result_code steering_target::OnReport(const target_report& report) {
+  const result_code code = reports_.OnReport(report, frame_.Now());
+  if (code != result_code::kOk) {
+    Refuse(code,
+           fmt::format("{} of {} at {}, start {}, sequence {}", report.id,
+                       report.service, tamaracklatch::ToString(report.where),
+                       report.start, report.sequence));
+    return code;
+  }
+  FollowTarget();
+  return code;
+}
+
+result_code steering_target::OnEnd(const std::string& id) {
+  const result_code code = reports_.OnEnd(id);
+  if (code == result_code::kOk) {
+    FollowTarget();
+  } else {
+    Refuse(code, "end of " + id);
+  }
+  return code;
+}
+
+void steering_target::OnUnreadableReport(const failure& why) {
+  Refuse(why.code, why.reason);
+}
+
+void steering_target::Refuse(result_code code, const std::string& detail) {
+  event what;
+  what.id = event_id::kHeartbeatRefused;
+  what.service = settings_.service;
+  what.code = code;
+  what.detail = detail;
+  frame_.events().OnEvent(what);
+}
+
+// The owner follows at once, so that a leaving target takes nothing more from
+// the moment that its report is answered.
+void steering_target::FollowTarget() {
+  const time_point now = frame_.Now();
+  target_status status = reports_.status();
+  if (stopping_ && status.condition == target_condition::kReady)
+    status.condition = target_condition::kDraining;
+  owner_.SetTarget(status, now);
+  node_record own = roster_.member().own();
+  own.condition = status.condition;
+  own.slots = status.slots;
+  own.target_start = status.target_start;
+  own.cold_remaining = std::max(status.cold_until - now, duration::zero());
+  own.load = owner_.load();
+  roster_.SetOwn(own);
+  if (status.condition == told_) return;
+  told_ = status.condition;
+  event what;
+  what.id = event_id::kTargetChanged;
+  what.service = settings_.service;
+  what.detail = fmt::format("{}, start {}, slots {}", ToString(told_),
+                            status.target_start, status.slots);
+  frame_.events().OnEvent(what);
+}
+
+void steering_target::OnRosterChanged(const roster_entry& entry) {
+  if (entry.record.role == node_role::kTarget)
+    owner_.UpdateTarget(entry, frame_.Now());
+}
+
+void steering_target::OnSetReceived(const document_set& set) {
+  owner_.SetIdleTimeout(set.idle_timeout);
+}
+
+void steering_target::OnSteered(std::string_view bytes) {
+  failure why;
+  std::string_view rest;
+  const auto header = ReadSteeringHeader(bytes, &rest, &why);
+  if (!header) return CountDropped(why.code);
+  const auto what = codec_->Decode(rest, false, &why);
+  if (!what) return CountDropped(why.code);
+  owner_.OnSteered(*header, *what, frame_.Now(), &actions_);
+  Perform();
+}
+
+void steering_target::OnOutbound(std::string_view bytes) {
+  failure why;
+  const auto what = codec_->Decode(bytes, true, &why);
+  if (!what) return CountDropped(why.code);
+  owner_.OnTargetSegment(*what, frame_.Now(), &actions_);
+  Perform();
+}
+
+void steering_target::Perform() {
+  for (const segment_action& action : actions_) {
+    std::visit([this](const auto& each) { Do(each); }, action);
+  }
+  actions_.clear();
+}
+
+void steering_target::Do(const deliver_segment& action) {
+  outbound_.Send(settings_.target, action.bytes);
+}
+
+void steering_target::Do(const pass_segment& action) {
+  buffer_.clear();
+  AppendSteeringHeader(action.header, &buffer_);
+  buffer_.append(action.bytes);
+  roster_.Send(action.to, buffer_);
+}
+
+void steering_target::Do(const answer_caller& action) {
+  outbound_.Send({action.key.source, settings_.caller_port}, action.bytes);
+}
+
+void steering_target::Do(const tell_balancer& action) {
+  buffer_.clear();
+  AppendSteeringHeader(action.header, &buffer_);
+  roster_.Send(action.to, buffer_);
+}
+
+void steering_target::Do(const discard_segment& action) {
+  CountDropped(action.why);
+}
+
+void steering_target::CountDropped(result_code code) {
+  frame_.counts().Count("tamaracklatch_segments_dropped_total",
+                        "Segments that went nowhere, by reason.", 1.0,
+                        std::string(tamaracklatch::ToString(code)));
+}
+
+void steering_target::Tick() {
+  const time_point now = frame_.Now();
+  owner_.Tick(now, &actions_);
+  Perform();
+  if (reports_.Tick(now)) {
+    FollowTarget();
+  } else if (owner_.load() != roster_.member().own().load) {
+    FollowTarget();
+  }
+  if (!stopping_) return;
+  const bool ended = reports_.ended();
+  const duration least = ended ? kStopAfterTarget : kStopBesideTarget;
+  if (now - *stopping_ >= least) frame_.Stop();
+}
+
+// The flows of a target that has ended are gone with it; beside a living one
+// they wait for the next start of this daemon.
+void steering_target::BeginStop() {
+  stopping_ = frame_.Now();
+  FollowTarget();
+  if (!reports_.ended()) return;
+  node_record own = roster_.member().own();
+  own.leaving = true;
+  roster_.SetOwn(own);
+}
+
+}  // namespace tamaracklatch
--- /dev/null
+++ b/src/membership/target_reports.cc
@@ -0,0 +1,57 @@
+// Which reports of a target are believed.
+#include "tamaracklatch/membership/target_reports.h"
+
+namespace tamaracklatch {
+namespace {
+
+// A target whose first report has at most this sequence was seen from its start
+// on.
+constexpr std::uint64_t kFirstSequences = 1;
+
+}  // namespace
+
+target_reports::target_reports(const target_reports_settings& settings)
+    : settings_(settings) {}
+
+result_code target_reports::OnReport(const target_report& report,
+                                     time_point now) {
+  if (report.service != settings_.service || report.where != settings_.where)
+    return result_code::kHeartbeatForeign;
+  if (report.start < status_.target_start) return result_code::kHeartbeatStale;
+  const bool new_start = report.start > status_.target_start;
+  if (!new_start && (ended_ || report.sequence <= sequence_))
+    return result_code::kHeartbeatStale;
+  if (new_start) {
+    saw_start_ = report.sequence <= kFirstSequences;
+    ended_ = false;
+    status_.condition = target_condition::kReady;
+  }
+  id_ = report.id;
+  sequence_ = report.sequence;
+  heard_ = now;
+  status_.target_start = report.start;
+  status_.slots = report.slots;
+  status_.cold_until = now + report.cold_remaining;
+  const bool was_draining =
+      !new_start && status_.condition == target_condition::kDraining;
+  status_.condition = report.draining || was_draining
+                          ? target_condition::kDraining
+                          : target_condition::kReady;
+  return result_code::kOk;
+}
+
+result_code target_reports::OnEnd(const std::string& id) {
+  if (id != id_) return result_code::kHeartbeatStale;
+  ended_ = true;
+  status_.condition = target_condition::kAbsent;
+  return result_code::kOk;
+}
+
+bool target_reports::Tick(time_point now) {
+  if (status_.condition == target_condition::kAbsent) return false;
+  if (now - *heard_ < settings_.silence) return false;
+  status_.condition = target_condition::kAbsent;
+  return true;
+}
+
+}  // namespace tamaracklatch
--- /dev/null
+++ b/tests/membership/target_reports_test.cc
@@ -0,0 +1,100 @@
+// Tests of which reports of a target are believed.
+#include "tamaracklatch/membership/target_reports.h"
+
+#include <criterion/criterion.h>
+
+#include <vector>
+
+namespace tamaracklatch {
+namespace {
+
+using std::chrono::milliseconds;
+
+const endpoint kTarget{MakeV4(0x0a000009), 80};
+
+target_report Report(std::uint64_t start, std::uint64_t sequence,
+                     bool draining = false) {
+  target_report report;
+  report.id = "i-" + std::to_string(start);
+  report.service = "desk";
+  report.where = kTarget;
+  report.start = start;
+  report.sequence = sequence;
+  report.draining = draining;
+  report.slots = 4;
+  return report;
+}
+
+struct report_row {
+  target_report report;
+  result_code code;
+  target_condition condition;  // afterwards
+};
+
+target_report Foreign(target_report report) {
+  report.service = "archive";
+  return report;
+}
+
+Test(target_reports, follow_the_newest_start_and_sequence) {
+  using condition = target_condition;
+  const std::vector<report_row> rows{
+      {Foreign(Report(9, 9)), result_code::kHeartbeatForeign,
+       condition::kAbsent},
+      {Report(5, 1), result_code::kOk, condition::kReady},
+      {Report(5, 1), result_code::kHeartbeatStale, condition::kReady},
+      {Report(5, 3, true), result_code::kOk, condition::kDraining},
+      {Report(5, 2), result_code::kHeartbeatStale, condition::kDraining},
+      {Report(5, 4), result_code::kOk, condition::kDraining},
+      {Report(4, 9), result_code::kHeartbeatStale, condition::kDraining},
+      {Report(6, 0), result_code::kOk, condition::kReady},
+      {Report(5, 9, true), result_code::kHeartbeatStale, condition::kReady},
+  };
+  target_reports reports({"desk", kTarget, milliseconds(2000)});
+  for (const report_row& row : rows) {
+    cr_expect(reports.OnReport(row.report, time_point()) == row.code);
+    cr_expect(reports.status().condition == row.condition);
+  }
+}
+
+Test(target_reports, an_end_is_final_for_its_start) {
+  target_reports reports({"desk", kTarget, milliseconds(2000)});
+  reports.OnReport(Report(5, 1), time_point());
+  cr_expect(reports.OnEnd("i-4") == result_code::kHeartbeatStale);
+  cr_expect(reports.OnEnd("i-5") == result_code::kOk);
+  cr_expect(reports.ended());
+  cr_expect(reports.OnReport(Report(5, 2), time_point()) ==
+            result_code::kHeartbeatStale);
+  cr_expect(reports.status().condition == target_condition::kAbsent);
+  cr_expect(reports.OnReport(Report(6, 1), time_point()) == result_code::kOk);
+  cr_expect(!reports.ended());
+}
+
+Test(target_reports, silence_makes_absent_until_the_next_report) {
+  target_reports reports({"desk", kTarget, milliseconds(2000)});
+  reports.OnReport(Report(5, 1), time_point());
+  cr_expect(!reports.Tick(time_point(milliseconds(1999))));
+  cr_expect(reports.Tick(time_point(milliseconds(2000))));
+  cr_expect(reports.status().condition == target_condition::kAbsent);
+  cr_expect(!reports.ended());
+  cr_expect(!reports.Tick(time_point(milliseconds(2001))));
+  reports.OnReport(Report(5, 2), time_point(milliseconds(2500)));
+  cr_expect(reports.status().condition == target_condition::kReady);
+}
+
+struct start_row {
+  std::uint64_t sequence;
+  bool saw_start;
+};
+
+Test(target_reports, know_whether_the_start_was_seen) {
+  for (const start_row& row :
+       std::vector<start_row>{{0, true}, {1, true}, {2, false}, {40, false}}) {
+    target_reports reports({"desk", kTarget, milliseconds(2000)});
+    reports.OnReport(Report(5, row.sequence), time_point());
+    cr_expect(reports.saw_start() == row.saw_start);
+  }
+}
+
+}  // namespace
+}  // namespace tamaracklatch
