Let nodes tell each other of themselves through the control VMs

Cause: the targets, balancers and control VMs must find each other without documents or leases. Members announce their record to every hub; hubs tell what changed since the position that a member knows, and give out the document set in parts. Echoed numbers and stamps bound the age of every message, so that none that waited in a stopped process counts. Ruled out: trusting the time of arrival, as a buffer may hold a datagram for the length of a freeze.

--- a/include/tamaracklatch/roster/node_record.h
+++ b/include/tamaracklatch/roster/node_record.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 #include "tamaracklatch/core/endpoint.h"
 #include "tamaracklatch/core/ids.h"
@@ -23,6 +24,18 @@
   kDraining = 2,  // keeps its flows, takes no new ones
 };
 
+inline std::string_view ToString(target_condition condition) {
+  switch (condition) {
+    case target_condition::kAbsent:
+      return "absent";
+    case target_condition::kReady:
+      return "ready";
+    case target_condition::kDraining:
+      return "draining";
+  }
+  return "unknown";
+}
+
 // One process. A later record of the same start has a higher sequence; a later
 // start at the same endpoint has a higher generation.
 struct node_record {
@@ -41,7 +54,8 @@
   target_condition condition = target_condition::kAbsent;
   std::uint32_t slots = 1;         // requests that the target runs at a time
   std::uint32_t load = 0;          // in 1/256 of a slot, smoothed
-  duration cold_remaining{0};      // from when the record was made
+  duration cold_remaining{0};      // from when the record was made; in a
+                                   // roster_entry from `learned`
   std::uint64_t target_start = 0;  // of the target, in ms of its wall clock;
                                    // 0 while absent
 
--- a/include/tamaracklatch/roster/roster_hub.h
+++ b/include/tamaracklatch/roster/roster_hub.h
@@ -4,13 +4,19 @@
 //
 //   roster_hub hub(settings, seed, now);
 //   for (auto& send : hub.OnMessage(from, bytes, now)) Send(send);
-//   for (auto& send : hub.OnTick(now)) Send(send);             // at
-//   next_wake() hub.SetDocuments(version, bytes);      // applied from the log
-//   hub.OnQuorumConfirmed(version, asked);  // no higher one was accepted
-//   before
+//   for (auto& send : hub.OnTick(now)) Send(send);  // at next_wake()
+//   hub.SetDocuments(version, bytes, now);          // applied from the log
+//   hub.OnQuorumConfirmed(version, asked);  // no higher one accepted before
+//
+// An announcement counts only if it gives back a stamp that this hub gave of
+// late: one that was late in the network, or waited while the hub was stopped,
+// brings nothing back. A hub that was stopped for longer than `silence` starts
+// over, as after a restart.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <list>
 #include <map>
 #include <optional>
 #include <string>
@@ -32,9 +38,17 @@
   duration load_interval = std::chrono::milliseconds(500);
   // Collects changes that come together before they are pushed.
   duration push_delay = std::chrono::milliseconds(10);
+  // After a start, nodes are given this long to announce themselves before
+  // their absence means anything.
+  duration settling = std::chrono::milliseconds(2500);
   std::size_t max_nodes = 200000;
 };
 
+// Whether a datagram is of the roster: its first byte is from 0xa0 to 0xaf.
+bool IsRosterMessage(std::string_view bytes);
+// Whether a datagram of the roster is for a hub; else it is for a member.
+bool IsForHub(std::string_view bytes);
+
 // Not safe for use by several threads.
 class roster_hub {
  public:
@@ -60,8 +74,88 @@
   // Nodes by endpoint, with their liveness here.
   const std::map<endpoint, roster_entry>& entries() const { return entries_; }
 
+  // Datagrams that could not be read.
+  std::uint64_t malformed() const { return malformed_; }
+
  private:
+  // What is known of a node besides its entry.
+  struct peer {
+    roster_entry* entry = nullptr;
+    std::uint64_t position = 0;  // of the last change that is told
+    std::uint64_t number = 0;    // of the newest announcement
+    time_point heard;            // when that came
+    std::uint64_t known = 0;     // position up to which the node knows
+    std::uint64_t floor = 0;     // highest generation that some member holds
+    std::uint64_t told_sequence = 0;
+    std::uint32_t told_load = 0;
+    time_point told_at;
+    bool is_lost = false;  // on lost_, else on heard_
+    std::list<peer*>::iterator place;
+  };
+
+  // The entries of one update.
+  struct chunk {
+    std::uint64_t to = 0;
+    std::string entries;
+  };
+  using chunk_cache = std::map<std::uint64_t, std::vector<chunk>>;
+
+  struct documents {
+    std::uint64_t version = 0;
+    std::uint64_t hash = 0;
+    std::string bytes;
+  };
+
+  struct confirmation {
+    std::uint64_t version = 0;
+    time_point asked;
+  };
+
+  void Notice(time_point now);
+  void StartOver(time_point now);
+  void Expire(time_point now);
+  void AdjustInterval(time_point now);
+  duration silence() const;
+  duration load_interval() const;
+  void OnAnnounce(const endpoint& from, std::string_view bytes, time_point now,
+                  sends* out);
+  void OnFetch(const endpoint& from, std::string_view bytes, sends* out);
+  bool IsFresh(std::uint64_t instance, std::uint64_t stamp, duration age,
+               time_point now) const;
+  peer* AddPeer(const node_record& record, time_point now);
+  void TakeRecord(peer* node, const node_record& record, time_point now);
+  void SetLiveness(peer* node, node_liveness liveness, time_point now);
+  void MarkHeard(peer* node, time_point now);
+  void Bump(peer* node, bool urgent, time_point now);
+  void Push(time_point now, sends* out);
+  const std::vector<chunk>& Chunks(std::uint64_t from, std::size_t most,
+                                   time_point now, chunk_cache* cache) const;
+  void SendUpdate(const endpoint& to, std::uint64_t from, std::uint64_t echo,
+                  duration echo_age, std::uint64_t superseded, std::size_t most,
+                  time_point now, chunk_cache* cache, sends* out) const;
+  void Report(event_id id, const node_record& record) const;
+
+  roster_hub_settings settings_;
+  event_listener* listener_;
+  std::uint64_t instance_;
+  time_point started_;      // or started over
+  time_point called_;       // last
+  time_point tick_;         // when to look for silent nodes next
+  time_point grace_;        // before it nobody becomes silent
+  duration interval_;       // that nodes are asked to announce at
+  duration held_interval_;  // that some may still announce at
+  time_point held_until_;
+  std::uint64_t position_ = 0;  // of the newest change
+  std::size_t alive_ = 0;
+  std::optional<time_point> push_at_;
+  documents documents_;
+  std::optional<confirmation> confirmed_;
+  std::uint64_t malformed_ = 0;
   std::map<endpoint, roster_entry> entries_;
+  std::map<endpoint, peer> peers_;  // the same keys as entries_
+  std::map<std::uint64_t, peer*> by_position_;
+  std::list<peer*> heard_;  // the longest not heard first
+  std::list<peer*> lost_;   // the longest silent first
 };
 
 }  // namespace tamaracklatch
--- a/include/tamaracklatch/roster/roster_member.h
+++ b/include/tamaracklatch/roster/roster_member.h
@@ -3,17 +3,25 @@
 // others, and fetches the newest document set. No hub: the last state stays.
 //
 //   roster_member member(settings, own_record, now);
-//   for (auto& action : member.OnTick(now)) Perform(action);   // at
-//   next_wake() for (auto& action : member.OnMessage(from, bytes, now))
-//   Perform(action); member.SetOwn(record, now);   // announced at once where
-//   it matters
+//   for (auto& action : member.OnTick(now)) Perform(action);  // at next_wake()
+//   for (auto& action : member.OnMessage(from, bytes, now)) Perform(action);
+//   for (auto& action : member.SetOwn(record, now)) Perform(action);
+//
+// A node is alive if some hub in touch hears it, silent if none does. What a
+// hub says counts from when it has told all changes up to its newest position
+// until it is lost.
 #pragma once
 
+#include <array>
 #include <cstddef>
+#include <cstdint>
+#include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -23,6 +31,10 @@
 
 namespace tamaracklatch {
 
+class set_fetcher;
+struct roster_update;
+struct told_entry;
+
 struct roster_member_settings {
   std::vector<endpoint> seeds;  // of control VMs, as the settings give them
   bool wants_set = false;       // fetches document sets
@@ -31,6 +43,8 @@
   duration hub_silence = std::chrono::milliseconds(1500);
   // A node that is gone or silent is forgotten after this long.
   duration memory = std::chrono::seconds(90);
+  // A confirmation older than this counts as lost, for events.
+  duration confirmation_lapse = std::chrono::seconds(3);
 };
 
 // Send the bytes as one datagram.
@@ -64,6 +78,9 @@
 
   roster_member(const roster_member_settings& settings, const node_record& own,
                 time_point now);
+  ~roster_member();
+  roster_member(roster_member&&) noexcept;
+  roster_member& operator=(roster_member&&) noexcept;
 
   actions OnTick(time_point now);
   time_point next_wake() const;
@@ -91,11 +108,108 @@
   // Whether some hub answers, and has told its whole roster.
   bool IsInTouch(time_point now) const;
 
+  // Datagrams that could not be read.
+  std::uint64_t malformed() const { return malformed_; }
+
  private:
+  // Hubs as a set of bits; one with no bit left is not used.
+  using hub_mask = std::uint64_t;
+
+  // A control VM that announcements go to.
+  struct hub_link {
+    endpoint where;
+    hub_mask bit = 0;
+    bool is_seed = false;
+
+    // What it said last.
+    std::uint64_t instance = 0;  // 0: nothing yet
+    std::uint64_t position = 0;
+    std::uint64_t stamp = 0;
+    time_point stamped;  // when that came
+    duration interval{0};
+    std::uint64_t set_version = 0;
+    std::uint64_t set_size = 0;
+    std::uint64_t set_hash = 0;
+    std::optional<std::pair<std::uint64_t, time_point>> confirmed;
+    bool settled = false;
+
+    bool answers = false;
+    bool is_whole = false;  // told all up to its newest position since
+    time_point heard;       // when it surely ran
+    time_point grace;       // not lost before
+    time_point lost;        // when it last stopped to answer
+
+    // Announcements.
+    static constexpr std::size_t kKept = 32;
+    std::array<time_point, kKept> sent{};  // by number
+    std::uint64_t first_number = 0;
+    std::uint64_t number = 0;   // of the last sent
+    std::uint64_t echoed = 0;   // highest that came back
+    std::uint64_t awaited = 0;  // first with the newest urgent change
+    std::uint32_t repeats = 0;  // of it, still to send
+    std::uint32_t unanswered = 0;
+    time_point last_sent;
+    time_point next;
+  };
+
+  // Which hubs say what of an entry's start.
+  struct claims {
+    hub_mask alive = 0;
+    hub_mask silent = 0;
+  };
+
+  void Notice(time_point now, actions* out);
+  void AddLink(const endpoint& where, bool is_seed, time_point now);
+  void DropLink(const endpoint& where, time_point now, actions* out);
+  void FollowControls(time_point now, actions* out);
+  void ForgetClaims(hub_link* link, time_point now, actions* out);
+  duration Silence(const hub_link& link) const;
+  duration Pause(const hub_link& link) const;
+  void Announce(hub_link* link, time_point now, actions* out);
+  void AnnounceSoon(hub_link* link, time_point now, actions* out);
+  void AnnounceDue(time_point now, actions* out);
+  void CheckLinks(time_point now, actions* out);
+  void OnUpdate(hub_link* link, const roster_update& update, time_point now,
+                actions* out);
+  void OnPart(const endpoint& from, std::string_view bytes, time_point now,
+              actions* out);
+  bool ApplyEntries(hub_link* link, const roster_update& update, time_point now,
+                    actions* out);
+  void ApplyEntry(hub_link* link, const told_entry& told, time_point now,
+                  actions* out);
+  void RaiseGeneration(std::uint64_t held, time_point now, actions* out);
+  void SetWhole(hub_link* link, bool whole);
+  void Reconsider(time_point now, actions* out);
+  node_liveness Judge(const roster_entry& entry, const claims& said) const;
+  bool SetLiveness(roster_entry* entry, node_liveness liveness, time_point now,
+                   actions* out);
+  void ForgetOld(time_point now, actions* out);
+  void ConfirmFrom(const hub_link& link, time_point now, actions* out);
+  void Fetch(time_point now, actions* out);
+  void Report(event_id id, const node_record& record, const std::string& detail,
+              actions* out) const;
+
+  roster_member_settings settings_;
   node_record own_;
+  time_point own_made_;  // from when its cold_remaining counts
   std::map<endpoint, roster_entry> entries_;
+  std::map<endpoint, claims> claims_;  // the same keys as entries_
+  std::map<endpoint, hub_link> links_;
+  hub_mask used_bits_ = 0;
+  hub_mask whole_ = 0;       // hubs whose word counts
+  hub_mask settled_ = 0;     // of these, those that have heard all nodes
+  bool was_whole_ = false;   // a settled hub has told its whole roster
+  bool reconsider_ = false;  // whose word counts has changed
+  bool controls_changed_ = false;
+  // Hubs that say of an endpoint that an earlier start than ours is alive.
+  std::map<endpoint, hub_mask> disputes_;
+  // Entries that became silent or gone, with the time to forget them.
+  std::deque<std::pair<time_point, endpoint>> fading_;
+  time_point called_;  // last
   document_set set_;
   std::optional<time_point> confirmed_;
+  std::unique_ptr<set_fetcher> fetcher_;
+  std::uint64_t malformed_ = 0;
 };
 
 }  // namespace tamaracklatch
--- /dev/null
+++ b/src/roster/set_fetcher.cc
@@ -0,0 +1,164 @@
+// Asking for the parts of a document set and putting them together.
+#include "roster/set_fetcher.h"
+
+#include <algorithm>
+
+#include "tamaracklatch/core/hash.h"
+
+namespace tamaracklatch {
+namespace {
+
+constexpr std::size_t kMaxInFlight = 16;
+constexpr duration kRetry = std::chrono::milliseconds(150);
+constexpr std::uint32_t kTriesAtOneHub = 2;
+constexpr duration kRejectedPause = std::chrono::seconds(2);
+
+}  // namespace
+
+std::size_t set_fetcher::parts() const {
+  return (head_.size + kMaxSetPart - 1) / kMaxSetPart;
+}
+
+void set_fetcher::Clear() {
+  head_ = set_head();
+  hubs_.clear();
+  hub_ = 0;
+  bytes_ = std::string();
+  received_.clear();
+  missing_ = 0;
+  next_part_ = 0;
+  in_flight_.clear();
+}
+
+void set_fetcher::Restart(time_point now) {
+  bytes_ = std::string();
+  received_.assign(parts(), false);
+  missing_ = parts();
+  next_part_ = 0;
+  in_flight_.clear();
+  not_before_ = now;
+}
+
+set_fetcher::sends set_fetcher::SetSources(
+    const std::vector<set_source>& sources, std::uint64_t held,
+    time_point now) {
+  set_head best;
+  for (const set_source& source : sources) {
+    if (source.head.version > held && source.head.version > best.version &&
+        source.head.size > 0)
+      best = source.head;
+  }
+  if (best.version == 0) {
+    Clear();
+    return {};
+  }
+  // The version being fetched is kept where hubs differ in its bytes.
+  const bool same =
+      best.version == head_.version &&
+      std::any_of(sources.begin(), sources.end(),
+                  [&](const set_source& each) { return each.head == head_; });
+  const endpoint used = hubs_.empty() ? endpoint() : hubs_[hub_];
+  if (!same) {
+    Clear();
+    head_ = best;
+  }
+  hubs_.clear();
+  for (const set_source& source : sources)
+    if (source.head == head_) hubs_.push_back(source.hub);
+  const auto found = std::find(hubs_.begin(), hubs_.end(), used);
+  hub_ = found == hubs_.end() ? 0
+                              : static_cast<std::size_t>(found - hubs_.begin());
+  sends out;
+  if (!same) {
+    Restart(now);
+    AskMore(now, &out);
+  }
+  return out;
+}
+
+void set_fetcher::Ask(const request& what, sends* out) const {
+  set_fetch message;
+  message.version = head_.version;
+  message.offset = what.part * kMaxSetPart;
+  out->push_back({hubs_[hub_], Encode(message)});
+}
+
+void set_fetcher::AskMore(time_point now, sends* out) {
+  if (now < not_before_) return;
+  while (in_flight_.size() < kMaxInFlight && next_part_ < parts()) {
+    if (!received_[next_part_]) {
+      in_flight_.push_back({next_part_, now, 1});
+      Ask(in_flight_.back(), out);
+    }
+    ++next_part_;
+  }
+}
+
+set_fetcher::sends set_fetcher::OnTick(time_point now) {
+  sends out;
+  if (head_.version == 0) return out;
+  const bool change_hub = std::any_of(
+      in_flight_.begin(), in_flight_.end(), [&](const request& each) {
+        return each.sent + kRetry <= now && each.tries >= kTriesAtOneHub;
+      });
+  if (change_hub) {
+    hub_ = (hub_ + 1) % hubs_.size();
+    for (request& each : in_flight_) each.tries = 0;
+  }
+  for (request& each : in_flight_) {
+    if (each.sent + kRetry > now) continue;
+    each.sent = now;
+    ++each.tries;
+    Ask(each, &out);
+  }
+  AskMore(now, &out);
+  return out;
+}
+
+time_point set_fetcher::next_wake() const {
+  if (head_.version == 0) return time_point::max();
+  time_point wake = in_flight_.empty() ? not_before_ : time_point::max();
+  for (const request& each : in_flight_)
+    wake = std::min(wake, each.sent + kRetry);
+  return wake;
+}
+
+set_fetcher::sends set_fetcher::OnPart(const set_part& part, time_point now,
+                                       std::optional<std::string>* complete) {
+  sends out;
+  if (head_.version == 0 || part.version != head_.version ||
+      part.size != head_.size || part.offset % kMaxSetPart != 0)
+    return out;
+  const std::size_t index = part.offset / kMaxSetPart;
+  if (index >= parts() || received_[index]) return out;
+  if (part.bytes.size() !=
+      std::min<std::size_t>(kMaxSetPart, head_.size - part.offset))
+    return out;
+  bytes_.resize(head_.size);
+  bytes_.replace(part.offset, part.bytes.size(), part.bytes);
+  received_[index] = true;
+  --missing_;
+  in_flight_.erase(
+      std::remove_if(in_flight_.begin(), in_flight_.end(),
+                     [&](const request& each) { return each.part == index; }),
+      in_flight_.end());
+  if (missing_ > 0) {
+    AskMore(now, &out);
+    return out;
+  }
+  if (HashBytes(bytes_.data(), bytes_.size()) != head_.hash) {
+    Reject(now);
+    return out;
+  }
+  *complete = std::move(bytes_);
+  Restart(now + kRejectedPause);  // unless the set turns out to be of use
+  return out;
+}
+
+void set_fetcher::Reject(time_point now) {
+  if (head_.version == 0) return;
+  hub_ = (hub_ + 1) % hubs_.size();
+  Restart(now + kRejectedPause);
+}
+
+}  // namespace tamaracklatch
