--- a/include/tamaracklatch/roster/roster_hub.h
+++ b/include/tamaracklatch/roster/roster_hub.h
@@ -26,6 +26,7 @@
 #include "tamaracklatch/core/event.h"
 #include "tamaracklatch/roster/node_record.h"
 #include "tamaracklatch/roster/roster_member.h"
+#include "tamaracklatch/roster/roster_message_kind.h"
 
 namespace tamaracklatch {
 
@@ -44,11 +45,6 @@
   std::size_t max_nodes = 200000;
 };
 
-// Whether a datagram is of the roster: its first byte is from 0xa0 to 0xaf.
-bool IsRosterMessage(std::string_view bytes);
-// Whether a datagram of the roster is for a hub; else it is for a member.
-bool IsForHub(std::string_view bytes);
-
 // Not safe for use by several threads.
 class roster_hub {
  public:
--- a/src/roster/roster_messages.cc
+++ b/src/roster/roster_messages.cc
@@ -4,7 +4,7 @@
 #include <algorithm>
 #include <cstring>
 
-#include "tamaracklatch/roster/roster_hub.h"
+#include "tamaracklatch/roster/roster_message_kind.h"
 #include "tamaracklatch/transport/wire.h"
 
 namespace tamaracklatch {
