Decide on segments whose answers leave the target directly

A router places openings by load and others by hints or along one search order; an owner keeps the flows of its target, passes openings on and searches.

--- a/include/tamaracklatch/steering/steering_header.h
+++ b/include/tamaracklatch/steering/steering_header.h
@@ -37,16 +37,23 @@
   // The balancer holds a view that the control quorum confirmed of late, and
   // every target that may own the flow is in it.
   bool confirmed = false;
+  // A target daemon on the way could not tell whether its target holds the
+  // flow; nobody after it may say that the flow is not open.
+  bool uncertain = false;
   std::uint64_t flow = 0;         // HashFlow of the key
   endpoint balancer;              // whom to tell the owner
   std::uint64_t set_version = 0;  // of the document set that the sender applied
   std::uint32_t sender_load = 0;  // of the target daemon that passed it on
+  std::uint64_t target_start = 0;  // kOwner: as in node_record, 0: not known
+  // The most targets that a node on the way knew as possible owners.
+  std::uint8_t possible_owners = 0;
   std::uint8_t service_count = 0;
   std::uint8_t visit_count = 0;
   // services[0] is the one chosen for the flow; an opening goes to no other.
   std::array<std::uint32_t, kMaxSteeringServices> services{};
   std::array<std::uint16_t, kMaxSteeringVisits> visits{};
 
+  bool HasService(std::uint32_t service) const;
   bool HasVisited(std::uint16_t node) const;
   // Appends a visit; false where the list is full.
   bool AddVisit(std::uint16_t node);
--- /dev/null
+++ b/src/steering/steering_header.cc
@@ -0,0 +1,157 @@
+// The binary form of the header:
+//   magic 1, flags 1 (kind, confirmed, uncertain, IPv6, version), flow 8,
+//   balancer 6 or 18, set version 8, sender load 4, possible owners 1,
+//   services 1, visits 1, target start 8 (kOwner only), the services 4 each,
+//   the visits 2 each.
+#include "tamaracklatch/steering/steering_header.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cstring>
+
+#include "flow/byte_codec.h"
+#include "steering/endpoint_hash.h"
+#include "tamaracklatch/core/hash.h"
+
+namespace tamaracklatch {
+namespace {
+
+constexpr std::uint8_t kMagic = 0x5a;
+constexpr std::uint8_t kVersion = 1;
+
+constexpr std::uint8_t kKindMask = 0x03;
+constexpr std::uint8_t kConfirmedFlag = 0x04;
+constexpr std::uint8_t kUncertainFlag = 0x08;
+constexpr std::uint8_t kV6Flag = 0x10;
+constexpr std::uint8_t kVersionShift = 5;
+
+constexpr std::size_t kV4Offset = 12;  // of an IPv4 address in its mapped form
+constexpr std::size_t kMaxBytes =
+    64 + 4 * kMaxSteeringServices + 2 * kMaxSteeringVisits;
+
+std::uint8_t FlagsOf(const steering_header& header) {
+  auto flags = static_cast<std::uint8_t>(header.kind);
+  if (header.confirmed) flags |= kConfirmedFlag;
+  if (header.uncertain) flags |= kUncertainFlag;
+  if (!header.balancer.address.IsV4()) flags |= kV6Flag;
+  return static_cast<std::uint8_t>(flags | kVersion << kVersionShift);
+}
+
+std::optional<steering_header> Refuse(failure* last_failure, result_code code,
+                                      const char* reason) {
+  SetFailure(last_failure, code, reason);
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::uint32_t ServiceTag(std::string_view service) {
+  return static_cast<std::uint32_t>(HashText(service));
+}
+
+std::uint16_t NodeTag(const endpoint& where) {
+  return static_cast<std::uint16_t>(HashEndpoint(where) >> 48U);
+}
+
+bool steering_header::HasService(std::uint32_t service) const {
+  const auto* end = services.begin() + service_count;
+  return std::find(services.begin(), end, service) != end;
+}
+
+bool steering_header::HasVisited(std::uint16_t node) const {
+  const auto* end = visits.begin() + visit_count;
+  return std::find(visits.begin(), end, node) != end;
+}
+
+bool steering_header::AddVisit(std::uint16_t node) {
+  if (visit_count == kMaxSteeringVisits) return false;
+  visits[visit_count++] = node;
+  return true;
+}
+
+void AppendSteeringHeader(const steering_header& header, std::string* bytes) {
+  assert(header.service_count <= kMaxSteeringServices);
+  assert(header.visit_count <= kMaxSteeringVisits);
+  assert(header.kind != steering_kind::kSegment || header.service_count > 0);
+  std::array<char, kMaxBytes> buffer;
+  byte_writer writer(buffer.data(), buffer.size());
+  writer.Write(kMagic);
+  writer.Write(FlagsOf(header));
+  writer.Write(header.flow);
+  const auto& address = header.balancer.address;
+  const std::size_t skipped = address.IsV4() ? kV4Offset : 0;
+  writer.WriteBytes(address.bytes.data() + skipped,
+                    address.bytes.size() - skipped);
+  writer.Write(header.balancer.port);
+  writer.Write(header.set_version);
+  writer.Write(header.sender_load);
+  writer.Write(header.possible_owners);
+  writer.Write(header.service_count);
+  writer.Write(header.visit_count);
+  if (header.kind == steering_kind::kOwner) writer.Write(header.target_start);
+  for (std::size_t at = 0; at < header.service_count; ++at)
+    writer.Write(header.services[at]);
+  for (std::size_t at = 0; at < header.visit_count; ++at)
+    writer.Write(header.visits[at]);
+  bytes->append(buffer.data(), writer.size());
+}
+
+std::optional<steering_header> ReadSteeringHeader(std::string_view bytes,
+                                                  std::string_view* segment,
+                                                  failure* last_failure) {
+  byte_reader reader(bytes);
+  const auto magic = reader.Read<std::uint8_t>();
+  const auto flags = reader.Read<std::uint8_t>();
+  if (!reader.ok()) {
+    return Refuse(last_failure, result_code::kEnvelopeTruncated,
+                  "shorter than a steering header");
+  }
+  if (magic != kMagic) {
+    return Refuse(last_failure, result_code::kEnvelopeMalformed,
+                  "not a steering header");
+  }
+  if (flags >> kVersionShift != kVersion) {
+    return Refuse(last_failure, result_code::kEnvelopeVersion,
+                  "a steering header of another version");
+  }
+  steering_header header;
+  header.kind = static_cast<steering_kind>(flags & kKindMask);
+  header.confirmed = (flags & kConfirmedFlag) != 0;
+  header.uncertain = (flags & kUncertainFlag) != 0;
+  header.flow = reader.Read<std::uint64_t>();
+  ip_address& address = header.balancer.address;
+  const bool v6 = (flags & kV6Flag) != 0;
+  if (!v6) address = MakeV4(0);
+  const std::size_t skipped = v6 ? 0 : kV4Offset;
+  reader.ReadBytes(address.bytes.data() + skipped,
+                   address.bytes.size() - skipped);
+  header.balancer.port = reader.Read<std::uint16_t>();
+  header.set_version = reader.Read<std::uint64_t>();
+  header.sender_load = reader.Read<std::uint32_t>();
+  header.possible_owners = reader.Read<std::uint8_t>();
+  header.service_count = reader.Read<std::uint8_t>();
+  header.visit_count = reader.Read<std::uint8_t>();
+  const bool needs_service = header.kind == steering_kind::kSegment;
+  if (reader.ok() &&
+      ((flags & kKindMask) == 0 ||
+       header.service_count > kMaxSteeringServices ||
+       header.visit_count > kMaxSteeringVisits || (v6 && address.IsV4()) ||
+       (needs_service && header.service_count == 0))) {
+    return Refuse(last_failure, result_code::kEnvelopeMalformed,
+                  "a field of the steering header is out of range");
+  }
+  if (header.kind == steering_kind::kOwner)
+    header.target_start = reader.Read<std::uint64_t>();
+  for (std::size_t at = 0; reader.ok() && at < header.service_count; ++at)
+    header.services[at] = reader.Read<std::uint32_t>();
+  for (std::size_t at = 0; reader.ok() && at < header.visit_count; ++at)
+    header.visits[at] = reader.Read<std::uint16_t>();
+  if (!reader.ok()) {
+    return Refuse(last_failure, result_code::kEnvelopeTruncated,
+                  "shorter than its steering header says");
+  }
+  *segment = reader.rest();
+  return header;
+}
+
+}  // namespace tamaracklatch
--- /dev/null
+++ b/src/steering/target_directory.cc
@@ -0,0 +1,138 @@
+// Targets by service, ranked by rendezvous hashing of flow and endpoint.
+#include "steering/target_directory.h"
+
+#include <limits>
+
+namespace tamaracklatch {
+namespace {
+
+// A search tries another silent target after this.
+constexpr std::chrono::milliseconds kSilentTurn{150};
+
+constexpr std::size_t kAll = std::numeric_limits<std::size_t>::max();
+
+}  // namespace
+
+bool directory_target::HasEnded(std::uint64_t start) const {
+  if (start == 0) return false;
+  if (target_start != 0) return target_start > start;
+  return liveness == node_liveness::kGone &&
+         condition == target_condition::kAbsent && last_start == start;
+}
+
+bool target_directory::Update(const roster_entry& entry, time_point now) {
+  const node_record& record = entry.record;
+  if (record.role != node_role::kTarget) return false;
+  const auto [place, is_new] = places_.try_emplace(
+      record.where, static_cast<target_index>(targets_.size()));
+  if (is_new) {
+    directory_target added;
+    added.where = record.where;
+    added.hash = HashEndpoint(record.where);
+    added.node = NodeTag(record.where);
+    targets_.push_back(added);
+  }
+  directory_target& target = targets_[place->second];
+  const std::uint32_t service = ServiceTag(record.service);
+  if (is_new || target.service != service) {
+    if (!is_new) Unlist(target, place->second);
+    target.service = service;
+    services_[service].push_back(place->second);
+  }
+  if (target.generation != record.generation) target.last_start = 0;
+  target.generation = record.generation;
+  target.own_zone = record.zone == zone_;
+  target.liveness = entry.liveness;
+  target.condition = record.condition;
+  target.slots = std::max<std::uint32_t>(record.slots, 1);
+  target.load = record.load;
+  target.cold_until = entry.learned + record.cold_remaining;
+  target.target_start = record.target_start;
+  if (record.target_start != 0) target.last_start = record.target_start;
+  target.changed = now;
+  return true;
+}
+
+target_index target_directory::Find(const endpoint& where) const {
+  const auto found = places_.find(where);
+  return found == places_.end() ? kNoTargetIndex : found->second;
+}
+
+void target_directory::Unlist(const directory_target& target,
+                              target_index index) {
+  const auto found = services_.find(target.service);
+  if (found == services_.end()) return;
+  std::vector<target_index>& listed = found->second;
+  listed.erase(std::remove(listed.begin(), listed.end(), index), listed.end());
+  if (listed.empty()) services_.erase(found);
+}
+
+bool target_directory::MayOwn(const directory_target& target,
+                              time_point now) const {
+  if (target.liveness != node_liveness::kGone) return true;
+  // The daemon left; its target may live on.
+  return !target.HasEnded(target.last_start) &&
+         now - target.changed < max_flow_age_;
+}
+
+const owner_search& target_directory::ListOwners(const steering_header& header,
+                                                 time_point now) {
+  search_.alive.clear();
+  search_.silent.clear();
+  for (std::size_t at = 0; at < header.service_count; ++at) {
+    Rank(
+        header.flow, header.services[at], kAll,
+        [&](const directory_target& target) { return MayOwn(target, now); },
+        &all_);
+    for (const target_index index : all_) {
+      const bool alive = targets_[index].liveness == node_liveness::kAlive;
+      (alive ? search_.alive : search_.silent).push_back(index);
+    }
+  }
+  return search_;
+}
+
+target_index target_directory::NextOwner(const steering_header& header,
+                                         const endpoint& self,
+                                         time_point now) const {
+  const auto visited = [&](target_index index) {
+    return targets_[index].where == self ||
+           header.HasVisited(targets_[index].node);
+  };
+  const std::vector<target_index>& alive = search_.alive;
+  std::size_t start = 0;
+  for (std::size_t at = 0; at < alive.size(); ++at) {
+    if (targets_[alive[at]].where == self) start = at + 1;
+  }
+  for (std::size_t step = 0; step < alive.size(); ++step) {
+    const target_index index = alive[(start + step) % alive.size()];
+    if (!visited(index)) return index;
+  }
+  // A dead target ends the search, so each retransmission tries another.
+  const std::vector<target_index>& silent = search_.silent;
+  const auto turn =
+      static_cast<std::size_t>(now.time_since_epoch() / kSilentTurn);
+  for (std::size_t step = 0; step < silent.size(); ++step) {
+    const target_index index = silent[(turn + step) % silent.size()];
+    if (!visited(index)) return index;
+  }
+  return kNoTargetIndex;
+}
+
+bool target_directory::AllVisited(const steering_header& header) const {
+  std::array<std::uint16_t, kMaxSteeringVisits> nodes{};
+  if (search_.size() > nodes.size()) return false;
+  std::size_t count = 0;
+  for (const auto* list : {&search_.alive, &search_.silent}) {
+    for (const target_index index : *list) {
+      const std::uint16_t node = targets_[index].node;
+      if (!header.HasVisited(node)) return false;
+      nodes[count++] = node;
+    }
+  }
+  auto* end = nodes.begin() + count;
+  std::sort(nodes.begin(), end);
+  return std::adjacent_find(nodes.begin(), end) == end;
+}
+
+}  // namespace tamaracklatch
