--- a/src/daemon/steering_target.cc
+++ b/src/daemon/steering_target.cc
@@ -48,18 +48,6 @@
   return result;
 }
 
-const char* ToString(target_condition condition) {
-  switch (condition) {
-    case target_condition::kAbsent:
-      return "absent";
-    case target_condition::kReady:
-      return "ready";
-    case target_condition::kDraining:
-      return "draining";
-  }
-  return "absent";
-}
-
 }  // namespace
 
 steering_target::steering_target(const steering_target_settings& settings,
@@ -137,6 +125,7 @@
 void steering_target::FollowTarget() {
   const time_point now = frame_.Now();
   target_status status = reports_.status();
+  status.saw_target_start = reports_.saw_start();
   if (stopping_ && status.condition == target_condition::kReady)
     status.condition = target_condition::kDraining;
   owner_.SetTarget(status, now);
@@ -225,6 +214,7 @@
 
 void steering_target::Tick() {
   const time_point now = frame_.Now();
+  owner_.SetConfirmed(roster_.member().IsInTouch(now));
   owner_.Tick(now, &actions_);
   Perform();
   if (reports_.Tick(now)) {
