--- a/include/tamaracklatch/steering/segment_owner.h
+++ b/include/tamaracklatch/steering/segment_owner.h
@@ -102,7 +102,7 @@
   // The bound of the document set in force; 0: none.
   void SetIdleTimeout(duration limit) { idle_timeout_ = limit; }
   // Whether the own roster was heard from a hub within the bound after which
-  // a target that joined must be known. Without it no flow is reset.
+  // a target that joined must be known. Without it no search ends in a reset.
   void SetConfirmed(bool confirmed) { confirmed_ = confirmed; }
 
   void Tick(time_point now, std::vector<segment_action>* actions);
@@ -138,6 +138,7 @@
             const segment& what, actions* out);
   void TellOwner(const steering_header& header, owned_flow* flow, actions* out);
   void TellUnknown(const steering_header& header, actions* out);
+  void Reset(const segment& what, result_code why, actions* out);
   void Discard(result_code why, actions* out);
   void Forget(const owned_flow& flow, result_code why);
   bool IsBlind(time_point now) const { return now < blind_until_; }
--- a/include/tamaracklatch/steering/steering_header.h
+++ b/include/tamaracklatch/steering/steering_header.h
@@ -35,7 +35,8 @@
 struct steering_header {
   steering_kind kind = steering_kind::kSegment;
   // The balancer holds a view that the control quorum confirmed of late, and
-  // every target that may own the flow is in it.
+  // every target that may own the flow is in it: the services are complete, and
+  // the flow is older than a change of the roster takes to be known everywhere.
   bool confirmed = false;
   // A target daemon on the way could not tell whether its target holds the
   // flow; nobody after it may say that the flow is not open.
--- a/src/steering/opening_memory.h
+++ b/src/steering/opening_memory.h
@@ -2,6 +2,7 @@
 // was looked for. Bounded; a newer flow takes the place of an older one.
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <vector>
@@ -19,9 +20,15 @@
     time_point updated;
     std::array<target_index, kCopies> chosen{kNoTargetIndex, kNoTargetIndex,
                                              kNoTargetIndex};
+    time_point first_searched;
     time_point searched;
     std::uint32_t searches = 0;
 
+    bool IsPlaced() const {
+      return std::any_of(chosen.begin(), chosen.end(), [](target_index target) {
+        return target != kNoTargetIndex;
+      });
+    }
     bool HasChosen(target_index target) const {
       return chosen[0] == target || chosen[1] == target || chosen[2] == target;
     }
--- a/src/steering/owned_flows.cc
+++ b/src/steering/owned_flows.cc
@@ -1,7 +1,6 @@
 // Sequence spaces, phases and load of the flows of one target.
 #include "steering/owned_flows.h"
 
-#include <cassert>
 #include <cmath>
 
 namespace tamaracklatch {
@@ -68,10 +67,11 @@
   flows_.erase(found);
 }
 
-void owned_flows::Clear() {
-  flows_.clear();
-  open_ = 0;
-  waiting_ = 0;
+void owned_flows::DoubtAll() {
+  for (auto& [hash, flow] : flows_) {
+    if (flow.phase == flow_phase::kClaimed)
+      SetPhase(&flow, flow_phase::kDoubted);
+  }
 }
 
 void owned_flows::OnDelivered(owned_flow* flow, const tcp_segment& tcp,
@@ -91,6 +91,7 @@
 void owned_flows::OnSent(owned_flow* flow, const tcp_segment& tcp,
                          time_point now) {
   flow->active = now;
+  if (flow->phase == flow_phase::kDoubted) SetPhase(flow, flow_phase::kClaimed);
   const std::uint32_t end = EndOf(tcp);
   if (tcp.syn) {
     // The answer to the opening; the caller acknowledges it first.
@@ -111,16 +112,19 @@
 
 void owned_flows::EndIfDone(owned_flow* flow, const tcp_segment& tcp) {
   const bool done = flow->caller_finished && flow->target_finished;
-  if ((done || tcp.rst) && flow->IsOpen()) SetPhase(flow, flow_phase::kEnded);
+  if (done || tcp.rst) SetPhase(flow, flow_phase::kEnded);
 }
 
 void owned_flows::SetPhase(owned_flow* flow, flow_phase phase) {
   const bool was_open = flow->IsOpen();
   flow->phase = phase;
   if (was_open == flow->IsOpen()) return;
-  assert(was_open);
-  --open_;
-  SetWaits(flow, false);
+  if (was_open) {
+    --open_;
+    SetWaits(flow, false);
+  } else {
+    ++open_;
+  }
 }
 
 void owned_flows::SetWaits(owned_flow* flow, bool waits) {
@@ -144,6 +148,7 @@
         is_over = idle >= (flow.answered ? kPendingFor : kUnansweredFor);
         break;
       case flow_phase::kClaimed:
+      case flow_phase::kDoubted:
         is_over = idle >= limits.idle ||
                   (now - flow.opened >= limits.age && idle >= kAgedFor);
         break;
--- a/src/steering/owned_flows.h
+++ b/src/steering/owned_flows.h
@@ -15,6 +15,7 @@
   kClaimed = 1,  // the caller took the target's answer
   kDropped = 2,  // the caller took another target's answer
   kEnded = 3,    // both ends have finished, or one has reset it
+  kDoubted = 4,  // claimed, but the target has started again since
 };
 
 struct owned_flow {
@@ -56,7 +57,9 @@
   // Null where there is no room. The flow must not be known.
   owned_flow* Add(const flow_key& key, std::uint64_t hash, time_point now);
   void Erase(std::uint64_t hash);
-  void Clear();
+  // The target has started again: what it held is lost, except what it took
+  // before its first report. What it sends tells which.
+  void DoubtAll();
 
   // Takes in what the target was handed, or what it sent.
   void OnDelivered(owned_flow* flow, const tcp_segment& tcp, time_point now);
--- a/src/steering/segment_owner.cc
+++ b/src/steering/segment_owner.cc
@@ -72,19 +72,7 @@
     if (status.saw_target_start) blind_until_ = now;
     return;
   }
-  // Another start holds none of the flows, except those that it took before
-  // its first report.
-  blind_until_ = now + settings_.max_flow_age;
-  if (listener_ != nullptr && flows_->size() > 0) {
-    event lost;
-    lost.id = event_id::kFlowForgotten;
-    lost.service = settings_.service;
-    lost.code = result_code::kFlowLost;
-    lost.detail = fmt::format("{} flows, target started again at {}",
-                              flows_->size(), target_start_);
-    listener_->OnEvent(lost);
-  }
-  flows_->Clear();
+  flows_->DoubtAll();
 }
 
 void segment_owner::UpdateTarget(const roster_entry& entry, time_point now) {
@@ -144,14 +132,12 @@
                               const segment& what, time_point now,
                               std::vector<segment_action>* actions) {
   owned_flow* flow = flows_->Find(what.key, header.flow);
-  if (flow != nullptr && (flow->phase == flow_phase::kClaimed ||
-                          flow->phase == flow_phase::kEnded)) {
+  if (flow != nullptr && flow->phase != flow_phase::kPending) {
     // A late copy; the flow is past its opening.
-    Discard(result_code::kNotThisTarget, actions);
-    return;
-  }
-  if (flow != nullptr && flow->phase == flow_phase::kDropped) {
-    Discard(result_code::kOtherTargetChosen, actions);
+    Discard(flow->phase == flow_phase::kDropped
+                ? result_code::kOtherTargetChosen
+                : result_code::kNotThisTarget,
+            actions);
     return;
   }
   if (header.services[0] != service_) {
@@ -253,9 +239,26 @@
     PassOpening(header, what, result_code::kTargetFull, true, now, actions);
     return;
   }
+  const bool is_lost =
+      flow != nullptr && (flow->phase == flow_phase::kClaimed ||
+                          flow->phase == flow_phase::kDoubted);
   if (flow != nullptr && flow->phase != flow_phase::kDropped)
-    Forget(*flow, result_code::kNotThisTarget);
-  Search(header, what, true, now, actions);
+    Forget(*flow, result_code::kFlowLost);
+  if (!is_lost) {
+    Search(header, what, true, now, actions);
+    return;
+  }
+  // The caller took this target's answer, so nobody else holds the flow.
+  TellUnknown(header, actions);
+  if (what.tcp.rst) {
+    Discard(result_code::kFlowLost, actions);
+    return;
+  }
+  if (ended_->Note(hash, now)) {
+    Tell(event_id::kSegmentReset, hash, what.key, result_code::kFlowLost, "",
+         "returned by the target");
+  }
+  Reset(what, result_code::kFlowLost, actions);
 }
 
 // ---- openings that go elsewhere ----
@@ -373,20 +376,19 @@
   if (!what.opens()) TellUnknown(header, actions);
   if (ended_->Note(header.flow, now)) {
     Tell(resets ? event_id::kSegmentReset : event_id::kSearchFailed,
-         header.flow, what.key, why, ToString(header.balancer),
+         header.flow, what.key, why, "",
          fmt::format("{} visits, {} possible owners, set {}{}{}{}",
                      header.visit_count, header.possible_owners,
                      header.set_version,
-                     header.confirmed ? "" : ", balancer not confirmed",
+                     header.confirmed ? "" : ", not confirmed",
                      confirmed_ ? "" : ", roster not confirmed",
                      header.uncertain ? ", uncertain" : ""));
   }
-  if (!resets) {
+  if (resets) {
+    Reset(what, why, actions);
+  } else {
     Discard(why, actions);
-    return;
   }
-  counters_.reset.Add(why);
-  actions->push_back(answer_caller{what.key, codec_->BuildReset(what)});
 }
 
 // After Visit: whether every target that may hold the flow has said that it
@@ -447,6 +449,12 @@
   actions->push_back(tell_balancer{header.balancer, hint});
 }
 
+void segment_owner::Reset(const segment& what, result_code why,
+                          std::vector<segment_action>* actions) {
+  counters_.reset.Add(why);
+  actions->push_back(answer_caller{what.key, codec_->BuildReset(what)});
+}
+
 void segment_owner::Discard(result_code why,
                             std::vector<segment_action>* actions) {
   counters_.discarded.Add(why);
@@ -456,8 +464,7 @@
 void segment_owner::Forget(const owned_flow& flow, result_code why) {
   counters_.forgotten.Add(why);
   const bool is_claim = flow.phase == flow_phase::kPending;
-  const bool is_told = is_claim || flow.phase == flow_phase::kClaimed;
-  if (is_told) {
+  if (flow.phase != flow_phase::kDropped && flow.phase != flow_phase::kEnded) {
     Tell(is_claim ? event_id::kClaimDropped : event_id::kFlowForgotten,
          flow.hash, flow.key, why, "",
          flow.answered ? "answered" : "never answered");
--- a/src/steering/segment_router.cc
+++ b/src/steering/segment_router.cc
@@ -33,6 +33,10 @@
 // the last one is a retransmission.
 constexpr std::chrono::milliseconds kSearchAgain{150};
 
+// A target that joined is known everywhere by then, so a flow that is looked
+// for as long is not one that opened at a target unknown to others.
+constexpr std::chrono::seconds kRosterSettles{1};
+
 // Makes the choice of the service independent of that of the target.
 constexpr std::uint64_t kShareSalt = 0x73686172650a0a0a;
 
@@ -220,8 +224,9 @@
     sent_[target] = {SentOpenings(target, now) + 1.0, now};
     return Forward(target, MakeHeader(by, share, flow, now));
   }
-  // A later copy may be late behind an earlier one that opened the flow.
-  if (what.copy > 0) return Drop(result_code::kNoTarget);
+  // Another copy may have opened the flow.
+  if (what.copy > 0 || openings_->Get(flow, now)->IsPlaced())
+    return Drop(result_code::kNoTarget);
   return Refuse(what, flow, result_code::kNoTarget, now);
 }
 
@@ -254,8 +259,7 @@
   if (is_counted && is_ranked(known->chosen[copy])) return known->chosen[copy];
 
   target_index best = kNoTargetIndex;
-  const bool remembers = known->chosen != opening_memory::entry().chosen;
-  if (copy == 0 || remembers) {
+  if (copy == 0 || known->IsPlaced()) {
     for (const target_index each : ranked_) {
       if (known->HasChosen(each)) continue;
       if (best == kNoTargetIndex || LoadOf(each, now) < LoadOf(best, now))
@@ -295,12 +299,15 @@
     if (target.HasEnded(owner->target_start))
       return Refuse(what, flow, result_code::kFlowLost, now);
     ++counters_.cached;
+    header.confirmed = false;
     return Forward(owner->target, header);
   }
   opening_memory::entry* known = openings_->Get(flow, now);
   if (known->searched != time_point() && now - known->searched >= kSearchAgain)
     ++known->searches;
   known->searched = now;
+  if (known->first_searched == time_point()) known->first_searched = now;
+  if (now - known->first_searched < kRosterSettles) header.confirmed = false;
   // Each retransmission asks another target first, so that one that is dead
   // hides the owner from one segment only.
   std::size_t turn = known->searches;
--- /dev/null
+++ b/tests/steering/steering_header_test.cc
@@ -0,0 +1,127 @@
+// Tests of the steering header: what is written is read again, and other bytes
+// are refused with a number.
+#include "tamaracklatch/steering/steering_header.h"
+
+#include <string>
+
+#include "support/property.h"
+
+namespace tamaracklatch {
+namespace {
+
+endpoint SomeEndpoint() {
+  endpoint where;
+  if (*rc::gen::arbitrary<bool>()) {
+    where.address = MakeV4(*rc::gen::arbitrary<std::uint32_t>());
+  } else {
+    for (std::uint8_t& byte : where.address.bytes)
+      byte = *rc::gen::arbitrary<std::uint8_t>();
+  }
+  where.port = *rc::gen::arbitrary<std::uint16_t>();
+  return where;
+}
+
+steering_header SomeHeader() {
+  steering_header header;
+  header.kind = static_cast<steering_kind>(*rc::gen::inRange(1, 4));
+  header.confirmed = *rc::gen::arbitrary<bool>();
+  header.uncertain = *rc::gen::arbitrary<bool>();
+  header.flow = *rc::gen::arbitrary<std::uint64_t>();
+  header.balancer = SomeEndpoint();
+  header.set_version = *rc::gen::arbitrary<std::uint64_t>();
+  header.sender_load = *rc::gen::arbitrary<std::uint32_t>();
+  header.possible_owners = *rc::gen::arbitrary<std::uint8_t>();
+  if (header.kind == steering_kind::kOwner)
+    header.target_start = *rc::gen::arbitrary<std::uint64_t>();
+  header.service_count = static_cast<std::uint8_t>(
+      *rc::gen::inRange<std::size_t>(1, kMaxSteeringServices + 1));
+  for (std::size_t at = 0; at < header.service_count; ++at)
+    header.services[at] = *rc::gen::arbitrary<std::uint32_t>();
+  const auto visits = *rc::gen::inRange<std::size_t>(0, kMaxSteeringVisits + 1);
+  for (std::size_t at = 0; at < visits; ++at)
+    header.AddVisit(*rc::gen::arbitrary<std::uint16_t>());
+  return header;
+}
+
+Test(steering_header, is_read_as_it_was_written) {
+  test::CheckProperty("round trip", [] {
+    const steering_header header = SomeHeader();
+    const auto payload = *rc::gen::arbitrary<std::string>();
+    std::string bytes;
+    AppendSteeringHeader(header, &bytes);
+    RC_ASSERT((static_cast<std::uint8_t>(bytes[0]) & 0xf0) != 0xa0);
+    std::string_view rest;
+    const std::string whole = bytes + payload;
+    const auto read = ReadSteeringHeader(whole, &rest, nullptr);
+    RC_ASSERT(read.has_value());
+    RC_ASSERT(rest == payload);
+    std::string again;
+    AppendSteeringHeader(*read, &again);
+    RC_ASSERT(again == bytes);
+    RC_ASSERT(read->flow == header.flow && read->balancer == header.balancer);
+    RC_ASSERT(read->visits == header.visits);
+    RC_ASSERT(read->services == header.services);
+    RC_ASSERT(read->target_start == header.target_start);
+
+    failure why;
+    const auto cut = *rc::gen::inRange<std::size_t>(0, bytes.size());
+    RC_ASSERT(!ReadSteeringHeader(bytes.substr(0, cut), &rest, &why));
+    RC_ASSERT(why.code == result_code::kEnvelopeTruncated);
+  });
+}
+
+Test(steering_header, survives_arbitrary_bytes) {
+  test::CheckProperty("arbitrary bytes", [] {
+    std::string bytes;
+    AppendSteeringHeader(SomeHeader(), &bytes);
+    const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
+    bytes[at] = *rc::gen::arbitrary<char>();
+    std::string_view rest;
+    failure why;
+    const auto read = ReadSteeringHeader(bytes, &rest, &why);
+    RC_ASSERT(read.has_value() == (why.code == result_code::kOk));
+    if (!read) return;
+    std::string again;
+    AppendSteeringHeader(*read, &again);
+    RC_ASSERT(again + std::string(rest) == bytes);
+  });
+}
+
+Test(steering_header, refuses_fields_out_of_range) {
+  struct row {
+    std::size_t at;  // byte of a header with an IPv4 balancer
+    char value;
+    result_code code;
+  };
+  constexpr row kRows[] = {
+      {0, '\xa5', result_code::kEnvelopeMalformed},
+      {1, '\x41', result_code::kEnvelopeVersion},
+      {1, '\x20', result_code::kEnvelopeMalformed},   // no kind
+      {29, '\x00', result_code::kEnvelopeMalformed},  // no service
+      {29, '\x05', result_code::kEnvelopeMalformed},  // too many services
+      {30, '\x19', result_code::kEnvelopeMalformed},  // too many visits
+  };
+  for (const row& each : kRows) {
+    steering_header header;
+    header.balancer = {MakeV4(0x0a000001), 80};
+    header.service_count = 1;
+    std::string bytes;
+    AppendSteeringHeader(header, &bytes);
+    bytes[each.at] = each.value;
+    std::string_view rest;
+    failure why;
+    cr_assert(!ReadSteeringHeader(bytes, &rest, &why));
+    cr_assert(why.code == each.code, "byte %zu", each.at);
+  }
+}
+
+Test(steering_header, bounds_its_visits) {
+  steering_header header;
+  for (std::uint16_t node = 0; node < kMaxSteeringVisits; ++node)
+    cr_assert(header.AddVisit(node));
+  cr_assert(!header.AddVisit(99));
+  cr_assert(header.HasVisited(0) && !header.HasVisited(99));
+}
+
+}  // namespace
+}  // namespace tamaracklatch
