--- /dev/null
+++ b/tests/steering/segment_owner_test.cc
@@ -0,0 +1,526 @@
+// Tests of the target daemon's decisions about segments, rule by rule.
+#include "tamaracklatch/steering/segment_owner.h"
+
+#include <memory>
+
+#include "steering/segments.h"
+#include "support/property.h"
+
+namespace tamaracklatch {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using test::AnswerOf;
+using test::BalancerAt;
+using test::DaemonAt;
+using test::FlowOf;
+using test::kStart;
+using test::OpeningOf;
+using test::plain_codec;
+using test::SegmentOf;
+using test::TargetAt;
+
+constexpr std::uint32_t kAnswer = 7000;  // the target's first sequence number
+
+struct event_counter : event_listener {
+  void OnEvent(const event& what) override {
+    if (what.id == wanted) ++count;
+  }
+  event_id wanted = event_id::kFlowClaimed;
+  int count = 0;
+};
+
+// The daemon of target 1 of three of a service; it saw its target start.
+struct lone_owner {
+  explicit lone_owner(bool saw_target_start = true) {
+    segment_owner_settings settings;
+    settings.self = DaemonAt(1);
+    settings.service = "web";
+    settings.zone = "a";
+    owner =
+        std::make_unique<segment_owner>(settings, &codec, kStart, &listener);
+    status.condition = target_condition::kReady;
+    status.slots = 4;
+    status.target_start = 100;
+    status.saw_target_start = saw_target_start;
+    owner->SetTarget(status, now);
+    owner->SetConfirmed(true);
+    for (std::uint32_t number = 1; number <= 3; ++number)
+      owner->UpdateTarget(TargetAt(number, "web"), now);
+  }
+
+  static steering_header Header(const flow_key& key) {
+    steering_header header;
+    header.confirmed = true;
+    header.flow = HashFlow(key);
+    header.balancer = BalancerAt(1);
+    header.service_count = 1;
+    header.services[0] = ServiceTag("web");
+    return header;
+  }
+
+  void Steer(const std::string& bytes) {
+    const segment what = plain_codec::Make(bytes, false);
+    Steer(Header(what.key), bytes);
+  }
+  void Steer(const steering_header& header, const std::string& bytes) {
+    actions.clear();
+    owner->OnSteered(header, plain_codec::Make(bytes, false), now, &actions);
+  }
+  void FromTarget(const std::string& bytes) {
+    actions.clear();
+    owner->OnTargetSegment(plain_codec::Make(bytes, true), now, &actions);
+  }
+  void SetCondition(target_condition condition) {
+    status.condition = condition;
+    owner->SetTarget(status, now);
+  }
+  // A flow whose opening the target has answered.
+  void Open(std::uint16_t port) {
+    Steer(OpeningOf(FlowOf(port)));
+    cr_assert(Got<deliver_segment>() != nullptr);
+    FromTarget(AnswerOf(FlowOf(port), kAnswer));
+    cr_assert(Got<answer_caller>() != nullptr);
+  }
+  // A flow that the caller has taken.
+  void Claim(std::uint16_t port) {
+    Open(port);
+    Steer(SegmentOf(FlowOf(port), kAnswer + 1));
+    cr_assert(Got<deliver_segment>() != nullptr);
+  }
+  void Request(std::uint16_t port) {
+    Steer(SegmentOf(FlowOf(port), kAnswer + 1, "request"));
+  }
+
+  template <typename Action>
+  const Action* Got() const {
+    for (const segment_action& each : actions) {
+      if (const auto* found = std::get_if<Action>(&each)) return found;
+    }
+    return nullptr;
+  }
+  result_code Discarded() const {
+    const auto* found = Got<discard_segment>();
+    return found == nullptr ? result_code::kOk : found->why;
+  }
+  bool HasReset() const {
+    const auto* found = Got<answer_caller>();
+    return found != nullptr &&
+           (plain_codec::Read(found->bytes).flags & plain_codec::kSystem) != 0;
+  }
+
+  plain_codec codec;
+  event_counter listener;
+  std::unique_ptr<segment_owner> owner;
+  target_status status;
+  std::vector<segment_action> actions;
+  time_point now = kStart;
+};
+
+// A header that has been at all targets but the first.
+steering_header LastHeader(const flow_key& key) {
+  steering_header header = lone_owner::Header(key);
+  header.AddVisit(NodeTag(DaemonAt(2)));
+  header.AddVisit(NodeTag(DaemonAt(3)));
+  return header;
+}
+
+Test(owner, opens_a_flow_that_the_caller_takes) {
+  lone_owner alone;
+  alone.Open(1);
+  alone.Steer(SegmentOf(FlowOf(1), kAnswer + 1));
+  cr_assert(alone.listener.count == 1);
+  cr_assert(alone.Got<deliver_segment>() != nullptr);
+  const auto* told = alone.Got<tell_balancer>();
+  cr_assert(told != nullptr && told->to == BalancerAt(1));
+  cr_assert(told->header.kind == steering_kind::kOwner);
+  alone.Request(1);
+  cr_assert(alone.Got<tell_balancer>() == nullptr);
+}
+
+Test(owner, tells_the_owner_again_to_whom_does_not_know) {
+  lone_owner alone;
+  alone.Claim(1);
+  steering_header header = lone_owner::Header(FlowOf(1));
+  header.balancer = BalancerAt(2);
+  alone.Steer(header, SegmentOf(FlowOf(1), kAnswer + 1, "data"));
+  cr_assert(alone.Got<tell_balancer>() != nullptr);
+  header.AddVisit(7);
+  alone.Steer(header, SegmentOf(FlowOf(1), kAnswer + 1, "data"));
+  cr_assert(alone.Got<tell_balancer>() != nullptr);
+  // A report well after the opening tells which target holds the flow.
+  cr_assert(alone.Got<tell_balancer>()->header.target_start == 0);
+  alone.now += seconds(2);
+  alone.owner->SetTarget(alone.status, alone.now);
+  alone.Steer(header, SegmentOf(FlowOf(1), kAnswer + 1, "data"));
+  cr_assert(alone.Got<tell_balancer>()->header.target_start == 100);
+}
+
+Test(owner, drops_its_claim_when_another_answer_was_taken) {
+  for (const bool answered : {true, false}) {
+    lone_owner alone;
+    alone.listener.wanted = event_id::kClaimDropped;
+    alone.Steer(OpeningOf(FlowOf(1)));
+    if (answered) alone.FromTarget(AnswerOf(FlowOf(1), kAnswer));
+    alone.Steer(SegmentOf(FlowOf(1), 99999));
+    cr_assert(alone.listener.count == 1);
+    cr_assert(alone.Got<deliver_segment>() == nullptr);
+    const auto* passed = alone.Got<pass_segment>();
+    cr_assert(passed != nullptr && passed->header.visit_count == 1);
+    // The target's late answers reach nobody.
+    alone.FromTarget(AnswerOf(FlowOf(1), kAnswer));
+    cr_assert(alone.Discarded() == result_code::kOtherTargetChosen);
+    alone.Steer(OpeningOf(FlowOf(1), 1));
+    cr_assert(alone.Got<deliver_segment>() == nullptr);
+    cr_assert(alone.owner->flow_count() == 0);
+  }
+}
+
+Test(owner, delivers_all_but_the_mark_unchanged) {
+  lone_owner alone;
+  const std::string bytes = OpeningOf(FlowOf(1));
+  alone.Steer(bytes);
+  std::string delivered = alone.Got<deliver_segment>()->bytes;
+  cr_assert(plain_codec::Read(delivered).token != 0);
+  alone.codec.MarkDelivery(&delivered, 0);
+  cr_assert(delivered == bytes);
+  const std::string answer = AnswerOf(FlowOf(1), kAnswer);
+  alone.FromTarget(answer);
+  cr_assert(alone.Got<answer_caller>()->bytes == answer);
+}
+
+Test(owner, takes_an_opening_or_says_why_not) {
+  struct row {
+    const char* name;
+    target_condition condition;
+    std::uint32_t max_connections;
+    const char* service;
+    result_code passed;  // kOk: taken
+  };
+  constexpr auto kReady = target_condition::kReady;
+  constexpr row kRows[] = {
+      {"ready", kReady, 0, "web", result_code::kOk},
+      {"room", kReady, 2, "web", result_code::kOk},
+      {"full", kReady, 1, "web", result_code::kTargetFull},
+      {"draining", target_condition::kDraining, 0, "web",
+       result_code::kTargetDraining},
+      {"absent", target_condition::kAbsent, 0, "web", result_code::kNoTarget},
+      {"other service", kReady, 0, "shop", result_code::kNotThisTarget}};
+  for (const row& each : kRows) {
+    lone_owner alone;
+    alone.Claim(1);
+    alone.owner->UpdateTarget(TargetAt(9, "shop"), alone.now);
+    alone.status.max_connections = each.max_connections;
+    alone.SetCondition(each.condition);
+    steering_header header = lone_owner::Header(FlowOf(2));
+    header.services[0] = ServiceTag(each.service);
+    alone.Steer(header, OpeningOf(FlowOf(2)));
+    const auto* passed = alone.Got<pass_segment>();
+    cr_assert((alone.Got<deliver_segment>() != nullptr) ==
+                  (each.passed == result_code::kOk),
+              "%s", each.name);
+    if (each.passed == result_code::kOk) continue;
+    cr_assert(passed != nullptr && passed->to != DaemonAt(1), "%s", each.name);
+    cr_assert(passed->header.HasVisited(NodeTag(DaemonAt(1))));
+    cr_assert(alone.owner->counters().passed.Of(each.passed) == 1, "%s",
+              each.name);
+  }
+}
+
+Test(owner, passes_openings_to_the_least_loaded) {
+  lone_owner alone;
+  alone.owner->UpdateTarget(TargetAt(2, "web", 900), alone.now);
+  alone.SetCondition(target_condition::kDraining);
+  for (std::uint16_t port = 1; port < 20; ++port) {
+    alone.Steer(OpeningOf(FlowOf(port)));
+    cr_assert(alone.Got<pass_segment>()->to == DaemonAt(3));
+  }
+}
+
+Test(owner, passes_openings_on_while_it_is_busy) {
+  struct row {
+    std::uint16_t waiting;
+    std::uint32_t others;  // their load
+    std::uint8_t visits;
+    bool passes;
+  };
+  constexpr row kRows[] = {
+      {4, 0, 0, false}, {5, 0, 0, true}, {5, 1000, 0, false}, {5, 0, 2, false}};
+  for (const row& each : kRows) {
+    lone_owner alone;
+    for (std::uint32_t number = 2; number <= 3; ++number)
+      alone.owner->UpdateTarget(TargetAt(number, "web", each.others),
+                                alone.now);
+    for (std::uint16_t port = 1; port <= each.waiting; ++port) {
+      alone.Claim(port);
+      alone.Request(port);
+      alone.Request(port);  // a retransmission
+    }
+    steering_header header = lone_owner::Header(FlowOf(99));
+    for (std::uint16_t visit = 0; visit < each.visits; ++visit)
+      header.AddVisit(visit);
+    alone.Steer(header, OpeningOf(FlowOf(99)));
+    cr_assert((alone.Got<pass_segment>() != nullptr) == each.passes);
+  }
+}
+
+Test(owner, refuses_an_opening_only_when_it_is_open_nowhere) {
+  struct row {
+    const char* name;
+    std::uint32_t copy;
+    bool confirmed;         // the balancer
+    bool roster_confirmed;  // the own
+    bool uncertain;
+    bool saw_target_start;
+    bool all_visited;
+    node_liveness other;
+    std::uint8_t possible;
+    bool refused;
+  };
+  constexpr auto kAlive = node_liveness::kAlive;
+  constexpr row kRows[] = {
+      {"all asked", 0, true, true, false, true, true, kAlive, 3, true},
+      {"later copy", 1, true, true, false, true, true, kAlive, 3, false},
+      {"balancer", 0, false, true, false, true, true, kAlive, 3, false},
+      {"roster", 0, true, false, false, true, true, kAlive, 3, false},
+      {"uncertain", 0, true, true, true, true, true, kAlive, 3, false},
+      {"blind", 0, true, true, false, false, true, kAlive, 3, false},
+      {"one left", 0, true, true, false, true, false, kAlive, 3, false},
+      {"one silent left", 0, true, true, false, true, false,
+       node_liveness::kSilent, 3, false},
+      {"more known", 0, true, true, false, true, true, kAlive, 4, false}};
+  for (const row& each : kRows) {
+    lone_owner alone(each.saw_target_start);
+    alone.owner->SetConfirmed(each.roster_confirmed);
+    roster_entry other = TargetAt(3, "web");
+    other.liveness = each.other;
+    alone.owner->UpdateTarget(other, alone.now);
+    alone.SetCondition(target_condition::kDraining);
+    steering_header header = each.all_visited ? LastHeader(FlowOf(1))
+                                              : lone_owner::Header(FlowOf(1));
+    if (!each.all_visited) header.AddVisit(NodeTag(DaemonAt(2)));
+    header.confirmed = each.confirmed;
+    header.uncertain = each.uncertain;
+    header.possible_owners = each.possible;
+    alone.Steer(header, OpeningOf(FlowOf(1), each.copy));
+    cr_assert(alone.HasReset() == each.refused, "%s", each.name);
+    cr_assert((alone.Got<pass_segment>() != nullptr) == !each.all_visited, "%s",
+              each.name);
+  }
+}
+
+Test(owner, delivers_no_opening_while_it_drains) {
+  lone_owner alone;
+  alone.Open(1);
+  alone.Claim(2);
+  alone.SetCondition(target_condition::kDraining);
+  for (const std::uint16_t port : {1, 2, 3}) {
+    alone.Steer(OpeningOf(FlowOf(port)));
+    cr_assert(alone.Got<deliver_segment>() == nullptr, "flow %d", port);
+  }
+  // Its flows stay.
+  alone.Request(1);
+  cr_assert(alone.Got<deliver_segment>() != nullptr);
+  alone.Request(2);
+  cr_assert(alone.Got<deliver_segment>() != nullptr);
+}
+
+Test(owner, searches_the_owner_of_an_unknown_flow) {
+  lone_owner alone;
+  alone.listener.wanted = event_id::kSearchStarted;
+  steering_header header = lone_owner::Header(FlowOf(1));
+  alone.Steer(header, SegmentOf(FlowOf(1), 1, "data"));
+  const auto* first = alone.Got<pass_segment>();
+  cr_assert(first != nullptr && alone.listener.count == 1);
+  header = first->header;
+  const endpoint second = first->to == DaemonAt(2) ? DaemonAt(3) : DaemonAt(2);
+  header.AddVisit(NodeTag(first->to));
+  alone.Steer(header, SegmentOf(FlowOf(1), 1, "data"));
+  cr_assert(alone.Got<pass_segment>()->to == second);
+  // One event a flow.
+  alone.Steer(SegmentOf(FlowOf(1), 1, "data"));
+  cr_assert(alone.listener.count == 1);
+}
+
+Test(owner, ends_a_search_with_a_reset_only_when_all_were_asked) {
+  struct row {
+    const char* name;
+    bool confirmed;
+    bool uncertain;
+    std::uint8_t flags;
+    node_liveness other;
+    bool reset;
+  };
+  constexpr auto kAlive = node_liveness::kAlive;
+  constexpr row kRows[] = {
+      {"data", true, false, plain_codec::kAck, kAlive, true},
+      {"end", true, false, plain_codec::kAck | plain_codec::kFin, kAlive, true},
+      {"caller's reset", true, false, plain_codec::kRst, kAlive, false},
+      {"not confirmed", false, false, plain_codec::kAck, kAlive, false},
+      {"uncertain", true, true, plain_codec::kAck, kAlive, false},
+      {"gone, its target lives", true, false, plain_codec::kAck,
+       node_liveness::kGone, false}};
+  for (const row& each : kRows) {
+    lone_owner alone;
+    roster_entry other = TargetAt(4, "web");
+    other.liveness = each.other;
+    if (each.other == node_liveness::kGone)
+      alone.owner->UpdateTarget(other, alone.now);
+    steering_header header = LastHeader(FlowOf(1));
+    header.confirmed = each.confirmed;
+    header.uncertain = each.uncertain;
+    alone.Steer(header, SegmentOf(FlowOf(1), 1, "", each.flags));
+    cr_assert(alone.HasReset() == each.reset, "%s", each.name);
+    if (each.other == node_liveness::kGone) {
+      // Its target may be reached through a daemon that starts there.
+      cr_assert(alone.Got<pass_segment>()->to == DaemonAt(4));
+      continue;
+    }
+    cr_assert((alone.Discarded() == result_code::kSearchEnded) != each.reset);
+    cr_assert(alone.Got<tell_balancer>()->header.kind ==
+              steering_kind::kUnknown);
+  }
+}
+
+Test(owner, asks_its_target_after_a_restart_beside_it) {
+  lone_owner alone(false);
+  alone.Steer(SegmentOf(FlowOf(1), 1, "data"));
+  cr_assert(alone.Got<deliver_segment>() != nullptr);
+  // The target does not hold it: the search goes on, unmarked.
+  const std::string returned =
+      test::ReturnOf(alone.Got<deliver_segment>()->bytes);
+  alone.FromTarget(returned);
+  const auto* passed = alone.Got<pass_segment>();
+  cr_assert(passed != nullptr && !passed->header.uncertain);
+  cr_assert(passed->bytes == SegmentOf(FlowOf(1), 1, "data"));
+  // The target holds this one.
+  alone.FromTarget(SegmentOf(FlowOf(2), 1, "answer"));
+  cr_assert(alone.Got<answer_caller>() != nullptr);
+  alone.Steer(SegmentOf(FlowOf(2), 1, "data"));
+  cr_assert(alone.Got<tell_balancer>() != nullptr);
+  // It can't be the owner of another service's flow.
+  steering_header header = lone_owner::Header(FlowOf(3));
+  header.services[0] = ServiceTag("shop");
+  alone.Steer(header, SegmentOf(FlowOf(3), 1, "data"));
+  cr_assert(alone.Got<deliver_segment>() == nullptr);
+  // Flows from before its start are over by now.
+  alone.now += seconds(60);
+  alone.Steer(SegmentOf(FlowOf(4), 1, "data"));
+  cr_assert(alone.Got<deliver_segment>() == nullptr);
+}
+
+Test(owner, passes_a_returned_opening_on) {
+  for (const bool token_lost : {false, true}) {
+    lone_owner alone;
+    const std::string opening = OpeningOf(FlowOf(1));
+    alone.Steer(opening);
+    std::string returned = test::ReturnOf(alone.Got<deliver_segment>()->bytes);
+    const std::uint32_t other = 77;
+    if (token_lost)
+      std::memcpy(returned.data() + offsetof(plain_codec::head, token), &other,
+                  4);
+    alone.FromTarget(returned);
+    const auto* passed = alone.Got<pass_segment>();
+    cr_assert(passed != nullptr && passed->bytes == opening);
+    cr_assert(passed->header.uncertain == token_lost);
+    cr_assert(alone.owner->flow_count() == 0);
+  }
+}
+
+Test(owner, resets_a_flow_that_its_target_lost) {
+  lone_owner alone;
+  alone.Claim(1);
+  alone.status.target_start = 200;
+  alone.owner->SetTarget(alone.status, alone.now);
+  cr_assert(alone.owner->flow_count() == 0);
+  alone.Request(1);
+  alone.FromTarget(test::ReturnOf(alone.Got<deliver_segment>()->bytes));
+  cr_assert(alone.HasReset());
+  cr_assert(alone.owner->counters().reset.Of(result_code::kFlowLost) == 1);
+}
+
+Test(owner, keeps_a_flow_taken_before_the_first_report_of_a_start) {
+  lone_owner alone;
+  alone.Claim(1);
+  alone.status.target_start = 200;
+  alone.owner->SetTarget(alone.status, alone.now);
+  alone.Request(1);
+  alone.FromTarget(
+      SegmentOf(FlowOf(1), 1, "answer", plain_codec::kAck, kAnswer + 1));
+  cr_assert(alone.owner->flow_count() == 1);
+}
+
+Test(owner, forgets_flows_that_are_over) {
+  struct row {
+    const char* name;
+    bool claimed;
+    std::uint8_t caller;  // flags of the caller's last segment; 0: none
+    std::uint8_t target;
+    seconds kept;
+  };
+  constexpr std::uint8_t kFin = plain_codec::kFin | plain_codec::kAck;
+  constexpr row kRows[] = {
+      {"idle", true, 0, 0, seconds(17)},
+      {"half closed", true, kFin, 0, seconds(17)},
+      {"closed", true, kFin, kFin, seconds(3)},
+      {"caller resets", true, plain_codec::kRst, 0, seconds(3)},
+      {"target resets", true, 0, plain_codec::kRst, seconds(3)},
+      {"not taken", false, 0, 0, seconds(12)}};
+  for (const row& each : kRows) {
+    lone_owner alone;
+    alone.owner->SetIdleTimeout(seconds(15));
+    if (each.claimed) {
+      alone.Claim(1);
+    } else {
+      alone.Open(1);
+    }
+    if (each.caller != 0)
+      alone.Steer(SegmentOf(FlowOf(1), kAnswer + 1, "", each.caller));
+    if (each.target != 0)
+      alone.FromTarget(SegmentOf(FlowOf(1), 1, "", each.target, kAnswer + 1));
+    const auto delivers = [&](duration after) {
+      alone.now = kStart + after;
+      alone.owner->Tick(alone.now, &alone.actions);
+      lone_owner* one = &alone;
+      one->Steer(SegmentOf(FlowOf(1), kAnswer + 1, "", kFin));
+      return one->Got<deliver_segment>() != nullptr;
+    };
+    alone.now += each.kept;
+    alone.owner->Tick(alone.now - milliseconds(500), &alone.actions);
+    const bool over_early =
+        alone.owner->counters().forgotten.Of(result_code::kFlowEnded) +
+            alone.owner->counters().forgotten.Of(result_code::kFlowIdle) >
+        0;
+    cr_assert(!over_early, "%s", each.name);
+    cr_assert(!delivers(each.kept), "%s", each.name);
+  }
+}
+
+Test(owner, tells_its_load_by_requests_that_wait) {
+  lone_owner alone;
+  for (std::uint16_t port = 1; port <= 3; ++port) {
+    alone.Claim(port);
+    alone.Request(port);
+  }
+  alone.now += seconds(10);
+  alone.owner->Tick(alone.now, &alone.actions);
+  cr_assert(alone.owner->load() > 3 * 256 && alone.owner->load() < 4 * 256);
+  for (std::uint16_t port = 1; port <= 3; ++port) {
+    alone.FromTarget(
+        SegmentOf(FlowOf(port), 1, "answer", plain_codec::kAck, kAnswer + 1));
+  }
+  alone.now += seconds(10);
+  alone.owner->Tick(alone.now, &alone.actions);
+  cr_assert(alone.owner->load() < 64);
+  cr_assert(alone.owner->flow_count() == 3);
+}
+
+Test(owner, drops_a_header_of_another_flow) {
+  lone_owner alone;
+  alone.Steer(lone_owner::Header(FlowOf(2)), OpeningOf(FlowOf(1)));
+  cr_assert(alone.Discarded() == result_code::kEnvelopeMalformed);
+}
+
+}  // namespace
+}  // namespace tamaracklatch
