Let the leader keep its goal of voters by itself

With voter_goal > 0 the leader admits VMs that announce themselves as learners, lets one vote where voters are too few or one is silent, and then takes the silent one out; one change at a time, each accepted under the voters before it. A VM that is no member learns the members' names from whoever it reaches. consensus_agent has settings of its own.

--- a/include/tamaracklatch/consensus/consensus_action.h
+++ b/include/tamaracklatch/consensus/consensus_action.h
@@ -43,6 +43,12 @@
   vm_name name;
 };
 
+// Further names to which this VM announces itself while it is no member. Kept
+// beside those of the settings.
+struct peers_learned {
+  std::vector<vm_name> names;
+};
+
 // The answer to take_snapshot.
 struct snapshot_taken {
   revision index;
@@ -62,8 +68,8 @@
 
 using consensus_input =
     std::variant<timer_due, message_received, command_proposed, read_asked,
-                 voter_change_asked, snapshot_taken, batch_persisted,
-                 storage_failed>;
+                 voter_change_asked, peers_learned, snapshot_taken,
+                 batch_persisted, storage_failed>;
 
 struct send_message {
   consensus_message message;
--- a/include/tamaracklatch/consensus/consensus_message.h
+++ b/include/tamaracklatch/consensus/consensus_message.h
@@ -86,8 +86,11 @@
   voter_configuration founding;
 };
 
-// Tells a blank VM that a log exists, so that it must not found another one.
-struct log_exists {};
+// Tells a VM that is no member that a log exists, so that it must not found
+// another one, and whom it may ask to be admitted.
+struct log_exists {
+  std::vector<vm_name> members;  // at most 2 * kMaxMembers
+};
 
 // Asks the leader up to which revision a read must wait.
 struct read_request {
--- a/include/tamaracklatch/consensus/consensus_node.h
+++ b/include/tamaracklatch/consensus/consensus_node.h
@@ -125,6 +125,7 @@
   void On(const command_proposed& input);
   void On(const read_asked& input);
   void On(const voter_change_asked& input);
+  void On(const peers_learned& input);
   void On(const snapshot_taken& input);
   void On(const batch_persisted& input);
   void On(const storage_failed& input);
@@ -137,6 +138,7 @@
   void On(const snapshot_chunk& body, const member_id& from);
   void On(const snapshot_reply& body, const member_id& from);
   void On(const join_request& body, const member_id& from);
+  void On(const log_exists& body, const member_id& from);
   void On(const read_request& body, const member_id& from);
   void On(const read_reply& body, const member_id& from);
   bool IsForThisMember(const consensus_message& message);
@@ -144,6 +146,9 @@
   // Founding and joining.
   void Announce();
   std::set<vm_name> PeerNames() const;
+  std::set<vm_name> AnnouncedTo() const;
+  void LearnPeers(const std::vector<vm_name>& names);
+  log_exists MembersKnown() const;
   time_point AnnounceDeadline() const;
   void FoundIfAllAreBlank();
   void JoinCluster(cluster_id cluster, const voter_configuration& founding);
@@ -196,6 +201,22 @@
   void ProposeConfiguration(const voter_configuration& next);
   void ContinueVoterChanges();
   bool HasCaughtUp(const member_id& learner) const;
+
+  // Voters that heal themselves, on the leader.
+  time_point LastHeard(const member_id& id) const;
+  bool IsSilent(const member_id& id) const;
+  std::optional<voter_configuration> HealingStep(
+      const voter_configuration& configuration);
+  std::optional<voter_configuration> WithoutLostDisk(
+      const voter_configuration& configuration) const;
+  std::optional<voter_configuration> WithoutSurplusVoter(
+      const voter_configuration& configuration);
+  std::optional<voter_configuration> WithNewVoter(
+      const voter_configuration& configuration) const;
+  std::optional<voter_configuration> WithWaiting(
+      const voter_configuration& configuration);
+  std::optional<voter_configuration> WithoutSilentLearner(
+      const voter_configuration& configuration) const;
   void MatchProgressToConfiguration();
 
   // Reads on a follower.
@@ -255,7 +276,8 @@
   // Blank only.
   time_point join_deadline_;
   std::map<vm_name, blank_peer> blank_peers_;
-  std::uint64_t nonce_ = 0;  // of the last announcement
+  std::set<vm_name> learned_peers_;  // kept for later lives as a non-member
+  std::uint64_t nonce_ = 0;          // of the last announcement
   std::uint64_t previous_nonce_ = 0;
   bool log_exists_ = false;  // some member said so: it must not found one
 
@@ -265,7 +287,8 @@
   std::uint64_t quorum_round_ = 0;         // the newest that a quorum confirmed
   std::deque<confirmation_round> rounds_;  // from quorum_round_ on
   std::optional<time_point> lease_start_;
-  time_point quorum_contact_;  // as lease_start_, or when it was elected
+  time_point attentive_since_;  // it leads, and its process ran, since then
+  time_point quorum_contact_;   // as lease_start_, or when it was elected
   bool round_wanted_ = false;
   time_point heartbeat_deadline_;
   std::size_t uncommitted_bytes_ = 0;
--- a/include/tamaracklatch/consensus/consensus_settings.h
+++ b/include/tamaracklatch/consensus/consensus_settings.h
@@ -29,6 +29,15 @@
   // Between two announcements of a blank VM.
   duration join_interval = std::chrono::milliseconds(500);
 
+  // How many voters the leader keeps by itself: it admits VMs that announce
+  // themselves and replaces voters that are silent. 0: operators change voters.
+  std::size_t voter_goal = 0;
+  // A voter that did not answer for this long may be replaced.
+  duration voter_silence = std::chrono::milliseconds(1500);
+  // A learner that did not answer for this long is forgotten. It is admitted
+  // again when it announces itself.
+  duration learner_silence = std::chrono::seconds(30);
+
   std::size_t max_append_bytes = 128 * 1024;        // of one message's entries
   std::size_t max_in_flight_messages = 16;          // to one follower
   std::size_t max_uncommitted_bytes = 8192 * 1024;  // on the leader
--- a/include/tamaracklatch/consensus/follower_progress.h
+++ b/include/tamaracklatch/consensus/follower_progress.h
@@ -20,6 +20,7 @@
                                   // move it back
   std::uint64_t acked_round = 0;  // the newest round that it confirmed
   revision commit_sent;           // the newest commit index told
+  time_point since;               // when the leader began to follow it
   std::optional<time_point> last_reply;
   bool heartbeat_due = false;
   std::deque<revision> in_flight;  // last entry of each message on the way
--- a/src/consensus/consensus_election.cc
+++ b/src/consensus/consensus_election.cc
@@ -135,6 +135,7 @@
   quorum_round_ = round_;
   lease_start_.reset();
   quorum_contact_ = now_;
+  attentive_since_ = now_;
   waiting_.clear();
   uncommitted_bytes_ = 0;
   for (std::uint64_t i = applied_.value + 1; i <= log_.last_index().value;
--- a/src/consensus/consensus_membership.cc
+++ b/src/consensus/consensus_membership.cc
@@ -10,7 +10,8 @@
 namespace tamaracklatch {
 namespace {
 
-constexpr std::size_t kMaxWaiting = 16;  // blank VMs that nobody asked for
+constexpr std::size_t kMaxWaiting = 16;   // blank VMs that nobody asked for
+constexpr std::size_t kMaxLearned = 256;  // names of other VMs
 
 std::string Names(const std::vector<cluster_member>& members) {
   std::string text;
@@ -32,12 +33,51 @@
   return names;
 }
 
+std::set<vm_name> consensus_node::AnnouncedTo() const {
+  std::set<vm_name> names = PeerNames();
+  names.insert(learned_peers_.begin(), learned_peers_.end());
+  const voter_configuration& configuration = log_.configuration();
+  for (const cluster_member& one : configuration.voters) {
+    names.insert(one.id.name);
+  }
+  names.erase(self_.name);
+  return names;
+}
+
+void consensus_node::LearnPeers(const std::vector<vm_name>& names) {
+  bool news = false;
+  for (const vm_name& name : names) {
+    if (name == self_.name || learned_peers_.size() >= kMaxLearned) continue;
+    news |= learned_peers_.insert(name).second && PeerNames().count(name) == 0;
+  }
+  if (news) join_deadline_ = now_;
+}
+
+void consensus_node::On(const peers_learned& input) { LearnPeers(input.names); }
+
+void consensus_node::On(const log_exists& body, const member_id& /*from*/) {
+  LearnPeers(body.members);
+}
+
+// Whom a VM that is no member may ask to be admitted.
+log_exists consensus_node::MembersKnown() const {
+  log_exists known;
+  for (const cluster_member& one : log_.configuration().voters) {
+    known.members.push_back(one.id.name);
+  }
+  for (const cluster_member& one : log_.configuration().learners) {
+    known.members.push_back(one.id.name);
+  }
+  return known;
+}
+
 // A blank VM announces itself, and so does one that belongs to the log but
 // seems to be no member: it was removed, or the change that admitted it was
-// lost.
+// lost. Where voters are replaced, one that hears no leader for long may have
+// been removed without knowing it.
 time_point consensus_node::AnnounceDeadline() const {
   if (role_ == consensus_role::kBlank) return join_deadline_;
-  if (MayStand()) return time_point::max();
+  if (MayStand() && settings_.voter_goal == 0) return time_point::max();
   return std::max(join_deadline_,
                   leader_contact_ + 2 * settings_.election_timeout);
 }
@@ -49,7 +89,7 @@
   if (blank != (role_ == consensus_role::kBlank)) return;
   previous_nonce_ = nonce_;
   nonce_ = random_();
-  for (const vm_name& name : PeerNames()) {
+  for (const vm_name& name : AnnouncedTo()) {
     // To any disk, for a peer may have lost its own since.
     std::uint64_t echo = 0;
     const auto known = blank_peers_.find(name);
@@ -137,14 +177,16 @@
   if (accepted.IsVoter(blank) || accepted.IsLearner(blank)) {
     return Invite(blank);
   }
-  SendDurable(blank, log_exists{});
+  SendDurable(blank, MembersKnown());
   if (role_ != consensus_role::kLeader) return;
   if (configuration.IsLearner(blank)) return;
-  if (!configuration.HasName(blank.name)) {
+  const bool heals = settings_.voter_goal > 0;
+  if (heals || !configuration.HasName(blank.name)) {
     const bool news = waiting_.count(blank.name) == 0;
     if (news && waiting_.size() >= kMaxWaiting) return;
     waiting_[blank.name] = blank;
     if (news) Report(event_id::kMemberWaiting, "", {}, blank.name);
+    if (heals) ContinueVoterChanges();
     return;
   }
   // A member's VM that lost its disk comes back as a new member.
@@ -239,6 +281,11 @@
 void consensus_node::ContinueVoterChanges() {
   if (!MayChangeVoters()) return;
   const voter_configuration configuration = log_.configuration();
+  if (settings_.voter_goal > 0) {
+    const auto next = HealingStep(configuration);
+    if (next) ProposeConfiguration(*next);
+    return;
+  }
   for (const cluster_member& learner : configuration.learners) {
     if (!HasCaughtUp(learner.id)) continue;
     const auto next = NextStepFor(configuration, learner.id);
@@ -280,6 +327,7 @@
     if (one.id == self_ || progress_.count(one.id) != 0) return;
     follower_progress progress;
     progress.next = {log_.last_index().value + 1};
+    progress.since = now_;
     progress_.emplace(one.id, std::move(progress));
   };
   for (const cluster_member& voter : configuration.voters) add(voter);
@@ -296,6 +344,14 @@
   if (!log_.configuration().IsVoter(self_)) {
     return StepDown("it is no voter any more");
   }
+  // Newcomers need not wait for their next announcement.
+  if (settings_.voter_goal > 0) {
+    for (const cluster_member& learner : now.learners) {
+      const auto found = progress_.find(learner.id);
+      const bool fresh = found != progress_.end() && !found->second.last_reply;
+      if (fresh) Invite(learner.id);
+    }
+  }
   ContinueVoterChanges();
 }
 
--- a/src/consensus/consensus_message.cc
+++ b/src/consensus/consensus_message.cc
@@ -85,8 +85,10 @@
   WriteConfiguration(writer, body.founding);
 }
 
-void WriteBody(wire_writer* writer, const log_exists& /*body*/) {
-  writer->Array(0);
+void WriteBody(wire_writer* writer, const log_exists& body) {
+  writer->Array(1);
+  writer->Array(body.members.size());
+  for (const vm_name& name : body.members) writer->Text(name);
 }
 
 void WriteBody(wire_writer* writer, const read_request& body) {
@@ -179,7 +181,15 @@
   return true;
 }
 
-bool ReadBody(wire_reader* /*reader*/, log_exists* /*body*/) { return true; }
+bool ReadBody(wire_reader* reader, log_exists* body) {
+  const std::size_t count = reader->Array();
+  if (count > 2 * kMaxMembers) return false;
+  for (std::size_t i = 0; i < count && reader->ok(); ++i) {
+    body->members.push_back(reader->Text());
+  }
+  reader->Leave();
+  return true;
+}
 
 bool ReadBody(wire_reader* reader, join_invitation* body) {
   return ReadConfiguration(reader, &body->founding);
--- a/src/consensus/consensus_node.cc
+++ b/src/consensus/consensus_node.cc
@@ -46,6 +46,7 @@
       called_until_(now),
       receiver_(settings_.max_snapshot_bytes),
       join_deadline_(now),
+      attentive_since_(now),
       quorum_contact_(now),
       heartbeat_deadline_(now),
       next_wire_id_(random_()),
@@ -103,6 +104,8 @@
 
 void consensus_node::Handle(const consensus_input& input, time_point now) {
   assert(now >= now_);
+  // Silence of the others while this process stood still says nothing.
+  if (now - now_ > settings_.voter_silence / 4) attentive_since_ = now;
   now_ = now;
   std::visit([this](const auto& typed) { On(typed); }, input);
 }
@@ -144,12 +147,12 @@
     return !foreign && (message.to.disk.value == 0 || message.to == self_);
   }
   if (message.to != self_) return false;
-  const bool for_blank =
-      std::holds_alternative<join_invitation>(message.body) ||
-      std::holds_alternative<log_exists>(message.body);
-  if (for_blank) {
+  if (std::holds_alternative<join_invitation>(message.body)) {
     return hard_.cluster.value == 0 && message.cluster.value != 0;
   }
+  const bool tells_blank = std::holds_alternative<log_exists>(message.body) &&
+                           hard_.cluster.value == 0;
+  if (tells_blank) return message.cluster.value != 0;
   if (hard_.cluster.value != 0 && message.cluster == hard_.cluster) return true;
   if (hard_.cluster.value != 0 && !mismatch_reported_) {
     mismatch_reported_ = true;
@@ -172,9 +175,8 @@
   std::visit(
       [&](const auto& body) {
         using body_type = std::decay_t<decltype(body)>;
-        // Those two did their work above.
-        if constexpr (!std::is_same_v<body_type, join_invitation> &&
-                      !std::is_same_v<body_type, log_exists>) {
+        // Done above.
+        if constexpr (!std::is_same_v<body_type, join_invitation>) {
           On(body, message.from);
         }
       },
--- a/src/daemon/consensus_agent.cc
+++ b/src/daemon/consensus_agent.cc
@@ -3,32 +3,23 @@
 #include "daemon/consensus_agent.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace tamaracklatch {
 
 consensus_agent::consensus_agent(process_frame* frame, link_hub* hub,
-                                 const controld_settings& settings,
+                                 consensus_agent_settings settings,
                                  replicated_state_machine* machine)
     : frame_(frame),
       hub_(hub),
-      settings_(settings),
+      settings_(std::move(settings)),
       machine_(machine),
-      storage_({settings.process.data_folder}),
+      storage_({settings_.data_folder}),
       timer_(frame->loop()) {}
 
-consensus_settings consensus_agent::ConsensusSettings() const {
-  consensus_settings result;
-  result.name = settings_.process.name;
-  for (const voter_settings& voter : settings_.voters) {
-    result.founders.push_back(voter.name);
-    if (voter.name != result.name) result.peers.push_back(voter.name);
-  }
-  return result;
-}
-
 bool consensus_agent::Start(failure* last_failure) {
   runner_ =
-      consensus_runner::Start(ConsensusSettings(), &storage_, machine_, this,
+      consensus_runner::Start(settings_.consensus, &storage_, machine_, this,
                               frame_->random(), frame_->Now(), last_failure);
   if (!runner_) return false;
   hub_->SetHandler(frame_kind::kConsensus, [this](const std::string&,
@@ -62,6 +53,10 @@
   Handle(voter_change_asked{id, kind, name});
 }
 
+void consensus_agent::LearnPeers(std::vector<vm_name> names) {
+  Handle(peers_learned{std::move(names)});
+}
+
 void consensus_agent::Handle(const consensus_input& input) {
   runner_->Handle(input, frame_->Now());
   FlushSoon();
@@ -86,13 +81,8 @@
 }
 
 void consensus_agent::OnSend(const consensus_message& message) {
-  const auto found =
-      std::find_if(settings_.voters.begin(), settings_.voters.end(),
-                   [&](const voter_settings& voter) {
-                     return voter.name == message.to.name;
-                   });
   const endpoint where =
-      found == settings_.voters.end() ? endpoint() : found->links;
+      settings_.resolve(message.to.name).value_or(endpoint());
   hub_->Send(message.to.name, where, frame_kind::kConsensus,
              EncodeConsensusMessage(message));
 }
--- a/src/daemon/consensus_agent.h
+++ b/src/daemon/consensus_agent.h
@@ -5,7 +5,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "daemon/process_frame.h"
 #include "tamaracklatch/consensus/consensus_runner.h"
@@ -17,11 +19,19 @@
 // Called once with what became of a proposal or a read.
 using consensus_reply = std::function<void(result_code code, revision index)>;
 
+struct consensus_agent_settings {
+  consensus_settings consensus;
+  std::string data_folder;
+  // Where the links of the VM of this name listen; nothing: it can't be reached
+  // but over a link of its own.
+  std::function<std::optional<endpoint>(const vm_name&)> resolve;
+};
+
 class consensus_agent : public consensus_listener {
  public:
   // All of them must outlive the agent.
   consensus_agent(process_frame* frame, link_hub* hub,
-                  const controld_settings& settings,
+                  consensus_agent_settings settings,
                   replicated_state_machine* machine);
 
   // Loads the log and starts. On failure returns false and says why.
@@ -38,6 +48,12 @@
   void ChangeVoter(voter_change_asked::change_kind kind, const vm_name& name,
                    consensus_reply reply);
 
+  // Further VMs to which this one announces itself while it is no member.
+  void LearnPeers(std::vector<vm_name> names);
+
+  // Role, leader, voters.
+  consensus_status Status() const { return runner_->node().Status(); }
+
   const consensus_node& node() const { return runner_->node(); }
 
   void OnSend(const consensus_message& message) override;
@@ -50,11 +66,10 @@
   void FlushSoon();
   void Schedule();
   void Answer(std::uint64_t id, result_code code, revision index);
-  consensus_settings ConsensusSettings() const;
 
   process_frame* frame_;
   link_hub* hub_;
-  controld_settings settings_;
+  consensus_agent_settings settings_;
   replicated_state_machine* machine_;
   file_log_storage storage_;
   std::unique_ptr<consensus_runner> runner_;
--- a/src/daemon/controld.cc
+++ b/src/daemon/controld.cc
@@ -3,6 +3,8 @@
 #include <fmt/format.h>
 
 #include <cstdio>
+#include <map>
+#include <optional>
 
 #include "daemon/consensus_agent.h"
 #include "daemon/control_api.h"
@@ -36,6 +38,25 @@
   return result;
 }
 
+consensus_agent_settings ConsensusSettings(const controld_settings& settings) {
+  consensus_agent_settings result;
+  result.data_folder = settings.process.data_folder;
+  result.consensus.name = settings.process.name;
+  std::map<vm_name, endpoint> links;
+  for (const voter_settings& voter : settings.voters) {
+    links[voter.name] = voter.links;
+    result.consensus.founders.push_back(voter.name);
+    if (voter.name == settings.process.name) continue;
+    result.consensus.peers.push_back(voter.name);
+  }
+  result.resolve = [links](const vm_name& name) -> std::optional<endpoint> {
+    const auto found = links.find(name);
+    if (found == links.end()) return std::nullopt;
+    return found->second;
+  };
+  return result;
+}
+
 lease_settings LeaseSettings(const controld_settings& settings) {
   lease_settings result;
   result.relay = settings.process.vm;
@@ -74,7 +95,7 @@
         api_(&frame_, &hub_, settings, &state_),
         state_(&api_),
         machine_(&state_, [this] { OnRestored(); }),
-        consensus_(&frame_, &hub_, settings, &machine_),
+        consensus_(&frame_, &hub_, ConsensusSettings(settings), &machine_),
         view_(&frame_, &hub_, RelaySettings(settings, frame_), nullptr),
         leases_(LeaseSettings(settings)) {
     api_.SetAgents(&consensus_, &view_);
--- a/tests/consensus/consensus_message_test.cc
+++ b/tests/consensus/consensus_message_test.cc
@@ -28,7 +28,7 @@
           snapshot_reply{{3}, 8, 1, {50}, 8, true, false},
           join_request{},
           join_invitation{Voters()},
-          log_exists{},
+          log_exists{{"a", "b"}},
           read_request{4},
           read_reply{4, true, {12}}};
 }
