Replace the whole desired state as one document set

Cause: operators of an installation send their whole desired state under one version; the log knew only documents of single services. Commands grow to 896 KiB: 512 KiB of source, 256 KiB encoded, in one consensus message of 1 MiB. Not yet: HTTP, tests.

--- a/include/tamaracklatch/consensus/consensus_message.h
+++ b/include/tamaracklatch/consensus/consensus_message.h
@@ -116,7 +116,9 @@
 
 // Bounds of a message, for the sender's batches and the receiver's decoder.
 constexpr std::size_t kMaxConsensusMessageBytes = 1024 * 1024;
-constexpr std::size_t kMaxCommandBytes = 512 * 1024;
+// A command holds a document set, encoded and as its operator wrote it, and
+// travels whole in one message.
+constexpr std::size_t kMaxCommandBytes = 896 * 1024;
 constexpr std::size_t kMaxMembers = 32;
 constexpr std::size_t kMaxEntriesPerMessage = 4096;
 
--- a/include/tamaracklatch/control/control_command.h
+++ b/include/tamaracklatch/control/control_command.h
@@ -17,7 +17,16 @@
   std::string submitter;  // who sent it, for the history
 };
 
-using control_body = std::variant<submit_document, membership_batch>;
+// An operator replaces the whole document set.
+struct replace_document_set {
+  std::string encoded_set;  // EncodeDocumentSet
+  std::string source_text;  // as the operator sent it, byte for byte
+  std::string submitter;    // who sent it, for the history
+  std::uint64_t version = 0;
+};
+
+using control_body =
+    std::variant<submit_document, membership_batch, replace_document_set>;
 
 // One log entry.
 struct control_command {
--- a/include/tamaracklatch/control/control_state.h
+++ b/include/tamaracklatch/control/control_state.h
@@ -1,6 +1,6 @@
-// The replicated state of the control VMs: which documents were accepted and
-// which targets are members. The same entries in the same order give the same
-// state, bytes and answers on every VM.
+// The replicated state of the control VMs: which documents and which document
+// set were accepted, and which targets are members. The same entries in the
+// same order give the same state, bytes and answers on every VM.
 //
 //   control_state state(&listener);           // OnApplied tells each outcome
 //   state.Apply(revision{7}, Encode(command));  // from the log, in order
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -30,6 +31,15 @@
   std::string submitter;
 };
 
+// The document set with the highest version of all accepted.
+struct accepted_set {
+  std::uint64_t version = 0;
+  revision accepted;
+  std::string encoded_set;  // EncodeDocumentSet
+  std::string source_text;  // as the operator sent it, byte for byte
+  std::string submitter;
+};
+
 // The answer to one log entry. The same document gets the same `accepted`
 // again.
 struct command_outcome {
@@ -42,6 +52,10 @@
   std::uint64_t winner_hash = 0;     // with kVersionConflict
   std::string detail;                // for a person
   std::vector<refused_target> refused;
+  // Of a document set: the version that is held now, and whether it is this
+  // entry's.
+  std::optional<std::uint64_t> set_version;
+  bool set_taken = false;
 };
 
 // Hears of every entry, in order.
@@ -73,6 +87,10 @@
   // The newest entry applied, whether or not it changed anything.
   revision applied() const { return applied_; }
 
+  // The document set that is held; null before the first. It never changes
+  // once it is handed out.
+  std::shared_ptr<const accepted_set> held_set() const { return set_; }
+
   // What Apply would answer to this document now, without applying it.
   command_outcome Judge(const submit_document& submission) const;
 
@@ -105,6 +123,8 @@
                revision_changes* changes);
   void Perform(const membership_batch& body, command_outcome* outcome,
                revision_changes* changes);
+  void Perform(const replace_document_set& body, command_outcome* outcome,
+               revision_changes* changes);
   void Join(const target_announcement& join, command_outcome* outcome,
             revision_changes* changes);
   void Update(target_id id, target_record wanted, std::uint64_t generation,
@@ -145,6 +165,7 @@
   control_listener* listener_;
   revision applied_;
   cluster_view view_;
+  std::shared_ptr<const accepted_set> set_;        // versions only rise
   std::map<std::string, service_state> services_;  // by name
   std::map<target_id, target_extra> extras_;       // one for each target
   std::vector<target_slot> slots_;                 // by target_id::index
--- a/include/tamaracklatch/control/document_set.h
+++ b/include/tamaracklatch/control/document_set.h
@@ -47,10 +47,15 @@
                              // never
 };
 
+// Bounds of a set, in bytes: encoded, and as its operator wrote it.
+inline constexpr std::size_t kMaxEncodedSetBytes = 256 * 1024;
+inline constexpr std::size_t kMaxSetSourceBytes = 512 * 1024;
+
 // Checks the invariants; adds every fault to `failures`, each with kSetInvalid.
 bool CheckDocumentSet(const document_set& set, std::vector<failure>* failures);
 
-// The set as bytes, for the log and for nodes; equal sets give equal bytes.
+// The set, which keeps the invariants, as bytes for the log and for nodes;
+// equal sets give equal bytes.
 std::string EncodeDocumentSet(const document_set& set);
 
 // Nothing on malformed bytes or where an invariant does not hold.
--- a/src/control/control_command.cc
+++ b/src/control/control_command.cc
@@ -1,13 +1,21 @@
 // Encoding of the log's commands.
 #include "tamaracklatch/control/control_command.h"
 
+#include <algorithm>
+
+#include "tamaracklatch/control/document_set.h"
+
 namespace tamaracklatch {
 namespace {
 
 // Second element of an encoded command. Numbers are never used again.
-enum class command_kind : std::uint8_t { kSubmit = 0, kMembership = 1 };
+enum class command_kind : std::uint8_t {
+  kSubmit = 0,
+  kMembership = 1,
+  kReplaceSet = 2,
+};
 
-constexpr std::uint64_t kLastCommandKind = 1;
+constexpr std::uint64_t kLastCommandKind = 2;
 constexpr std::size_t kMaxCommandBytes = 16 * 1024 * 1024;
 
 class body_writer {
@@ -33,6 +41,15 @@
     for (const target_key& key : body.losses) WriteKey(writer_, key);
   }
 
+  void operator()(const replace_document_set& body) const {
+    writer_->Number(static_cast<std::uint64_t>(command_kind::kReplaceSet));
+    writer_->Array(4);
+    writer_->Number(body.version);
+    writer_->Text(body.encoded_set);
+    writer_->Text(body.source_text);
+    writer_->Text(body.submitter);
+  }
+
  private:
   wire_writer* writer_;
 };
@@ -68,6 +85,17 @@
   return body;
 }
 
+replace_document_set ReadReplaceSet(wire_reader* reader) {
+  replace_document_set body;
+  reader->Array();
+  body.version = reader->Number();
+  body.encoded_set = reader->Text();
+  body.source_text = reader->Text();
+  body.submitter = reader->Text();
+  reader->Leave();
+  return body;
+}
+
 }  // namespace
 
 std::string Encode(const control_command& command) {
@@ -81,6 +109,7 @@
 std::optional<control_command> DecodeCommand(std::string_view bytes) {
   wire_limits limits;
   limits.max_bytes = kMaxCommandBytes;
+  limits.max_text = std::max(kMaxSetSourceBytes, kMaxEncodedSetBytes);
   wire_reader reader(bytes, limits);
   control_command command;
   reader.Array();
@@ -92,6 +121,9 @@
     case command_kind::kMembership:
       command.body = ReadMembership(&reader);
       break;
+    case command_kind::kReplaceSet:
+      command.body = ReadReplaceSet(&reader);
+      break;
   }
   reader.Leave();
   if (!reader.ok()) return std::nullopt;
--- a/src/control/control_state.cc
+++ b/src/control/control_state.cc
@@ -7,12 +7,14 @@
 #include <cassert>
 #include <functional>
 
+#include "tamaracklatch/control/document_set.h"
 #include "tamaracklatch/control/view_codec.h"
 
 namespace tamaracklatch {
 namespace {
 
-constexpr std::uint64_t kSnapshotFormat = 1;
+// Format 1 has no document set.
+constexpr std::uint64_t kSnapshotFormat = 2;
 // Targets that may be members at once.
 constexpr std::size_t kMaxTargets = 1U << 20U;
 
@@ -21,6 +23,7 @@
   wire_limits limits;
   limits.max_bytes = std::size_t{1} << 30U;
   limits.max_elements = std::size_t{1} << 21U;
+  limits.max_text = kMaxSetSourceBytes;
   return limits;
 }
 
@@ -213,6 +216,25 @@
   return {known->history.begin(), known->history.end()};
 }
 
+// --- The document set ---
+
+void control_state::Perform(const replace_document_set& body,
+                            command_outcome* outcome,
+                            revision_changes* changes) {
+  const auto set = DecodeDocumentSet(body.encoded_set);
+  if (!set || set->version != body.version) {
+    return Refuse(outcome, result_code::kCommandMalformed,
+                  "not a document set of its version");
+  }
+  if (!set_ || body.version > set_->version) {
+    set_ = std::make_shared<const accepted_set>(
+        accepted_set{body.version, changes->at, body.encoded_set,
+                     body.source_text, body.submitter});
+    outcome->set_taken = true;
+  }
+  outcome->set_version = set_->version;
+}
+
 // --- Membership ---
 
 void control_state::Perform(const membership_batch& body,
@@ -368,7 +390,7 @@
 
 std::string control_state::Snapshot() const {
   wire_writer writer;
-  writer.Array(6);
+  writer.Array(7);
   writer.Number(kSnapshotFormat);
   writer.Write(applied_);
   writer.Write(view_.at);
@@ -396,6 +418,14 @@
   }
   writer.Array(slots_.size());
   for (const target_slot& slot : slots_) writer.Number(slot.sequence);
+  writer.Array(set_ ? 5 : 0);
+  if (set_) {
+    writer.Number(set_->version);
+    writer.Write(set_->accepted);
+    writer.Text(set_->encoded_set);
+    writer.Text(set_->source_text);
+    writer.Text(set_->submitter);
+  }
   return std::string(writer.bytes());
 }
 
@@ -407,7 +437,8 @@
   wire_reader reader(bytes, SnapshotLimits());
   control_state read(listener_);
   reader.Array();
-  if (reader.Number() != kSnapshotFormat) return fail("unknown format");
+  const std::uint64_t format = reader.Number();
+  if (format == 0 || format > kSnapshotFormat) return fail("unknown format");
   reader.Read(&read.applied_);
   reader.Read(&read.view_.at);
   const std::size_t services = reader.Array();
@@ -457,6 +488,18 @@
     read.slots_.push_back(slot);
   }
   reader.Leave();
+  if (format > 1 && reader.Array() > 0) {
+    accepted_set held;
+    held.version = reader.Number();
+    reader.Read(&held.accepted);
+    held.encoded_set = reader.Text();
+    held.source_text = reader.Text();
+    held.submitter = reader.Text();
+    const auto set = DecodeDocumentSet(held.encoded_set);
+    if (!set || set->version != held.version) return fail("bad document set");
+    read.set_ = std::make_shared<const accepted_set>(std::move(held));
+  }
+  if (format > 1) reader.Leave();
   reader.Leave();
   if (!reader.ok()) return fail("malformed bytes");
   for (const auto& [id, target] : read.view_.targets) {
--- /dev/null
+++ b/src/control/document_set.cc
@@ -0,0 +1,155 @@
+// Checks and encoding of document sets.
+#include "tamaracklatch/control/document_set.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cassert>
+#include <map>
+
+#include "tamaracklatch/transport/wire.h"
+
+namespace tamaracklatch {
+namespace {
+
+// Each share names its service by its place in the set's list.
+using service_places = std::map<std::string, std::size_t>;
+
+service_places PlacesOf(const std::vector<std::string>& services) {
+  service_places places;
+  for (std::size_t i = 0; i < services.size(); ++i)
+    places.emplace(services[i], i);
+  return places;
+}
+
+// Collects the faults of one set.
+class set_checker {
+ public:
+  set_checker(const document_set& set, std::vector<failure>* failures)
+      : set_(set), failures_(failures), places_(PlacesOf(set.services)) {}
+
+  void Check() {
+    if (set_.idle_timeout < duration::zero())
+      Fail("idle_timeout", "is below 0");
+    for (std::size_t i = 0; i < set_.routes.size(); ++i) CheckRoute(i);
+  }
+
+ private:
+  void Fail(const std::string& path, const std::string& reason) {
+    failures_->push_back(
+        {result_code::kSetInvalid, fmt::format("{}: {}", path, reason)});
+  }
+
+  void CheckRoute(std::size_t index) {
+    const set_route& route = set_.routes[index];
+    const std::string path = fmt::format("routes[{}]", index);
+    const auto [first, is_new] = routes_.emplace(route.where, index);
+    if (!is_new) {
+      Fail(path + ".where", fmt::format("{} is the address of routes[{}], too",
+                                        ToString(route.where), first->second));
+    }
+    bool has_weight = false;
+    for (std::size_t i = 0; i < route.shares.size(); ++i) {
+      const service_share& share = route.shares[i];
+      has_weight = has_weight || share.weight > 0;
+      if (places_.count(share.service) != 0) continue;
+      Fail(fmt::format("{}.shares[{}].service", path, i),
+           fmt::format("\"{}\" is not one of the services", share.service));
+    }
+    if (!has_weight) Fail(path + ".shares", "no share has a weight");
+  }
+
+  const document_set& set_;
+  std::vector<failure>* failures_;
+  service_places places_;
+  std::map<endpoint, std::size_t> routes_;  // by their addresses
+};
+
+set_route ReadRoute(wire_reader* reader,
+                    const std::vector<std::string>& services) {
+  set_route route;
+  reader->Array();
+  route.name = reader->Text();
+  reader->Read(&route.where);
+  const std::size_t shares = reader->Array();
+  for (std::size_t i = 0; i < shares && reader->ok(); ++i) {
+    reader->Array();
+    const std::uint64_t place = reader->Number();
+    const std::uint64_t weight = reader->NumberUpTo(UINT32_MAX);
+    reader->Leave();
+    // An unknown place gives a service that the check refuses.
+    route.shares.push_back(
+        {place < services.size() ? services[place] : std::string(),
+         static_cast<std::uint32_t>(weight)});
+    if (place >= services.size()) reader->NumberUpTo(0);
+  }
+  reader->Leave();
+  reader->Leave();
+  return route;
+}
+
+}  // namespace
+
+bool CheckDocumentSet(const document_set& set, std::vector<failure>* failures) {
+  const std::size_t faults_before = failures->size();
+  set_checker(set, failures).Check();
+  if (failures->size() != faults_before) return false;
+  const std::size_t bytes = EncodeDocumentSet(set).size();
+  if (bytes <= kMaxEncodedSetBytes) return true;
+  failures->push_back(
+      {result_code::kSetInvalid,
+       fmt::format("the set: {} bytes encoded, at most {} are taken", bytes,
+                   kMaxEncodedSetBytes)});
+  return false;
+}
+
+std::string EncodeDocumentSet(const document_set& set) {
+  const service_places places = PlacesOf(set.services);
+  wire_writer writer;
+  writer.Array(4);
+  writer.Number(set.version);
+  writer.Write(set.idle_timeout);
+  writer.Array(set.services.size());
+  for (const std::string& service : set.services) writer.Text(service);
+  writer.Array(set.routes.size());
+  for (const set_route& route : set.routes) {
+    writer.Array(3);
+    writer.Text(route.name);
+    writer.Write(route.where);
+    writer.Array(route.shares.size());
+    for (const service_share& share : route.shares) {
+      const auto place = places.find(share.service);
+      assert(place != places.end());
+      writer.Array(2);
+      writer.Number(place->second);
+      writer.Number(share.weight);
+    }
+  }
+  return std::string(writer.bytes());
+}
+
+std::optional<document_set> DecodeDocumentSet(std::string_view bytes) {
+  wire_limits limits;
+  limits.max_bytes = kMaxEncodedSetBytes;
+  limits.max_elements = kMaxEncodedSetBytes;
+  limits.max_text = kMaxEncodedSetBytes;
+  wire_reader reader(bytes, limits);
+  document_set set;
+  reader.Array();
+  set.version = reader.Number();
+  reader.Read(&set.idle_timeout);
+  const std::size_t services = reader.Array();
+  for (std::size_t i = 0; i < services && reader.ok(); ++i)
+    set.services.push_back(reader.Text());
+  reader.Leave();
+  const std::size_t routes = reader.Array();
+  for (std::size_t i = 0; i < routes && reader.ok(); ++i)
+    set.routes.push_back(ReadRoute(&reader, set.services));
+  reader.Leave();
+  reader.Leave();
+  std::vector<failure> failures;
+  if (!reader.ok() || !CheckDocumentSet(set, &failures)) return std::nullopt;
+  return set;
+}
+
+}  // namespace tamaracklatch
