Write the log as lines of JSON that never wait for their reader

Lines of text on standard error, written one by one, blocked the event loop when the reader stood still, and a flood of one event hid all others. Each event is now one JSON object on standard output, within a budget for each kind, in a bounded buffer written without waiting; lines left out are counted and said (event 1011). Events can name the flow's key, the route, the document set's version and further inputs. log4cplus stays below; its pool of four threads is cut to the one that it keeps.

--- a/src/daemon/event_log.cc
+++ b/src/daemon/event_log.cc
@@ -1,63 +1,167 @@
-// Event lines by log4cplus.
+// Lines by way of a log4cplus logger, whose appender puts them into the output.
 #include "daemon/event_log.h"
 
 #include <fmt/format.h>
-#include <log4cplus/consoleappender.h>
+#include <log4cplus/appender.h>
+#include <log4cplus/configurator.h>
 #include <log4cplus/initializer.h>
-#include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
-#include <log4cplus/loggingmacros.h>
+#include <log4cplus/spi/loggingevent.h>
+
+#include <utility>
 
 namespace tamaracklatch {
 namespace {
 
-std::string Line(const event& what) {
-  std::string line =
-      fmt::format("{} {} revision={}", static_cast<unsigned>(what.id),
-                  ToString(what.id), what.at.value);
-  const auto add = [&](const char* name, const std::string& value) {
-    if (!value.empty()) line += fmt::format(" {}={}", name, value);
-  };
-  add("service", what.service);
-  if (what.flow) line += fmt::format(" flow={:016x}", *what.flow);
-  add("request", what.request);
-  add("submission", what.submission);
-  add("peer", what.peer);
-  if (what.code != result_code::kOk) {
-    line += fmt::format(" code={} {}", static_cast<unsigned>(what.code),
-                        ToString(what.code));
-  }
-  add("detail", what.detail);
-  return line;
+// Puts messages, which are whole lines, into an output.
+class line_appender : public log4cplus::Appender {
+ public:
+  explicit line_appender(const log_output_settings& settings)
+      : output_(settings) {}
+  ~line_appender() override { destructorImpl(); }
+  line_appender(const line_appender&) = delete;
+  line_appender& operator=(const line_appender&) = delete;
+
+  void close() override { closed = true; }
+
+  log_output& output() { return output_; }
+  bool taken() const { return taken_; }  // whether the last line was
+
+ protected:
+  void append(const log4cplus::spi::InternalLoggingEvent& what) override {
+    taken_ = output_.Add(what.getMessage());
+  }
+
+ private:
+  log_output output_;
+  bool taken_ = true;
+};
+
+// Ends the library's pool of threads but for the one that it keeps: no appender
+// here writes from another thread.
+void StartLibrary() {
+  static const bool started = [] {
+    log4cplus::initialize();
+    log4cplus::setThreadPoolSize(0);
+    return true;
+  }();
+  static_cast<void>(started);
 }
 
 }  // namespace
 
-void StartLog(const std::string& level) {
-  static log4cplus::Initializer initializer;
-  const log4cplus::SharedAppenderPtr console(
-      new log4cplus::ConsoleAppender(true, true));
-  console->setLayout(std::make_unique<log4cplus::PatternLayout>(
-      "%D{%Y-%m-%dT%H:%M:%S.%q} %-5p %c %m%n"));
-  log4cplus::Logger root = log4cplus::Logger::getRoot();
-  root.addAppender(console);
-  root.setLogLevel(log4cplus::getLogLevelManager().fromString(level));
+struct event_log::plumbing {
+  explicit plumbing(const event_log_settings& settings)
+      : appender(new line_appender(settings.output)) {
+    logger.addAppender(appender);
+    logger.setAdditivity(false);
+    logger.setLogLevel(Level(settings.level));
+  }
+  ~plumbing() { logger.removeAllAppenders(); }
+  plumbing(const plumbing&) = delete;
+  plumbing& operator=(const plumbing&) = delete;
+
+  static log4cplus::LogLevel Level(log_level level) {
+    switch (level) {
+      case log_level::kTrace:
+        return log4cplus::TRACE_LOG_LEVEL;
+      case log_level::kDebug:
+        return log4cplus::DEBUG_LOG_LEVEL;
+      case log_level::kInfo:
+        break;
+      case log_level::kWarning:
+        return log4cplus::WARN_LOG_LEVEL;
+      case log_level::kError:
+        return log4cplus::ERROR_LOG_LEVEL;
+    }
+    return log4cplus::INFO_LOG_LEVEL;
+  }
+
+  bool Write(log_level level, std::string_view line) {
+    logger.forcedLog(Level(level), std::string(line), nullptr, 0, nullptr);
+    return appender_line().taken();
+  }
+
+  line_appender& appender_line() {
+    return static_cast<line_appender&>(*appender);
+  }
+
+  log4cplus::Logger logger = log4cplus::Logger::getInstance("events");
+  log4cplus::SharedAppenderPtr appender;
+};
+
+event_log::event_log(const event_log_settings& settings, metrics* counts,
+                     std::function<log_time()> now, std::function<void()> wake)
+    : settings_(settings),
+      counts_(counts),
+      now_(std::move(now)),
+      wake_(std::move(wake)),
+      budget_(settings.budget),
+      writer_(settings.source) {
+  StartLibrary();
+  plumbing_ = std::make_unique<plumbing>(settings);
 }
 
-event_log::event_log(const std::string& process, metrics* counts,
-                     event_listener* next)
-    : process_(process), counts_(counts), next_(next) {}
+event_log::~event_log() {
+  if (!budget_.dropped().empty()) SayDropped(now_());
+  plumbing_->appender_line().output().Flush();
+}
+
+void event_log::SetNode(const std::string& node) {
+  settings_.source.node = node;
+  writer_ = log_line_writer(settings_.source);
+}
 
 void event_log::OnEvent(const event& what) {
   counts_->Count("tamaracklatch_events_total", "Events by name.", 1.0,
                  std::string(ToString(what.id)));
-  const log4cplus::Logger logger = log4cplus::Logger::getInstance(process_);
-  if (what.code == result_code::kOk) {
-    LOG4CPLUS_INFO(logger, Line(what));
-  } else {
-    LOG4CPLUS_WARN(logger, Line(what));
+  const log_level level =
+      what.code == result_code::kOk ? log_level::kInfo : log_level::kWarning;
+  if (level >= settings_.level) {
+    const log_time when = now_();
+    if (budget_.Take(what.id, when.steady) && !Write(what, when))
+      budget_.CountDropped(what.id);
+    if (!awake_ && wake_) {
+      awake_ = true;
+      wake_();
+    }
   }
   if (next_ != nullptr) next_->OnEvent(what);
 }
 
+bool event_log::Write(const event& what, const log_time& when) {
+  const log_level level =
+      what.code == result_code::kOk ? log_level::kInfo : log_level::kWarning;
+  return plumbing_->Write(level, writer_.Write(what, ToString(level), when));
+}
+
+// One line for each kind. What finds no room is said the next time.
+void event_log::SayDropped(const log_time& when) {
+  said_ = when.steady;
+  const log_budget::left_out dropped = budget_.dropped();
+  for (const auto& [kind, count] : dropped) {
+    event notice;
+    notice.id = event_id::kLogLinesDropped;
+    notice.detail = fmt::format("{} {}", count, ToString(kind));
+    notice.inputs = {{"kind", std::string(ToString(kind))},
+                     {"lines", static_cast<std::int64_t>(count)}};
+    if (!Write(notice, when)) return;
+    budget_.ForgetDropped(kind);
+  }
+}
+
+bool event_log::Flush() {
+  awake_ = false;
+  log_output& output = plumbing_->appender_line().output();
+  output.Flush();
+  if (!budget_.dropped().empty()) {
+    const log_time when = now_();
+    if (!said_ || when.steady - *said_ >= settings_.notice_interval) {
+      SayDropped(when);
+      output.Flush();
+    }
+  }
+  return output.waiting() == 0 && budget_.dropped().empty();
+}
+
 }  // namespace tamaracklatch
--- a/src/daemon/event_log.h
+++ b/src/daemon/event_log.h
@@ -1,30 +1,71 @@
-// Writes each event as one numbered line by log4cplus and counts it.
+// Writes each event as one line of JSON to standard output and counts it. Keeps
+// within a budget of lines and never waits for the reader.
 #pragma once
 
+#include <functional>
+#include <memory>
+#include <optional>
 #include <string>
 
+#include "daemon/log_budget.h"
+#include "daemon/log_line.h"
+#include "daemon/log_output.h"
 #include "daemon/metrics.h"
 #include "tamaracklatch/core/event.h"
+#include "tamaracklatch/daemon/settings.h"
 
 namespace tamaracklatch {
 
-// Sets log4cplus up for this process: one line an event, to standard error.
-// `level` is one of TRACE, DEBUG, INFO, WARN, ERROR. Call once, before any
-// event.
-void StartLog(const std::string& level);
+struct event_log_settings {
+  log_source source;
+  log_level level = log_level::kInfo;  // refusals are warnings, others info
+  log_budget_settings budget;
+  log_output_settings output;
+  // Lines that were left out are said no more often than this.
+  duration notice_interval = std::chrono::seconds(1);
+};
 
 // The listener that daemons pass to their state machines.
+//
+//   event_log log(settings, &metrics, now, wake);
+//   log.OnEvent(what);        // wake() is called when Flush() should follow
+//   log.Flush();              // soon, and again later while it returns false
 class event_log : public event_listener {
  public:
-  // `counts` must outlive the log. `next` hears every event too; it may be
-  // null.
-  event_log(const std::string& process, metrics* counts, event_listener* next);
+  // `counts` must outlive the log. `now` reads both clocks. `wake` may be
+  // empty.
+  event_log(const event_log_settings& settings, metrics* counts,
+            std::function<log_time()> now, std::function<void()> wake);
+  ~event_log() override;
+
+  // Hears every event too; may be null, must outlive the log.
+  void SetNext(event_listener* next) { next_ = next; }
+
+  // The endpoint of this process, once it is known.
+  void SetNode(const std::string& node);
+
   void OnEvent(const event& what) override;
 
+  // Writes what the reader takes, and says what was left out. Returns whether
+  // nothing is left to do.
+  bool Flush();
+
  private:
-  std::string process_;
+  struct plumbing;
+
+  bool Write(const event& what, const log_time& when);
+  void SayDropped(const log_time& when);
+
+  event_log_settings settings_;
   metrics* counts_;
-  event_listener* next_;
+  std::function<log_time()> now_;
+  std::function<void()> wake_;
+  event_listener* next_ = nullptr;
+  log_budget budget_;
+  log_line_writer writer_;
+  std::unique_ptr<plumbing> plumbing_;
+  std::optional<time_point> said_;  // when lines left out were last said
+  bool awake_ = false;  // `wake` was called and Flush() has yet to follow
 };
 
 }  // namespace tamaracklatch
--- a/src/daemon/process_frame.cc
+++ b/src/daemon/process_frame.cc
@@ -9,6 +9,8 @@
 namespace tamaracklatch {
 namespace {
 
+constexpr std::chrono::milliseconds kLogRetry{50};
+
 std::uint64_t RandomNumber() {
   std::uint64_t number = 0;
   while (number == 0) randombytes_buf(&number, sizeof(number));
@@ -30,20 +32,16 @@
   return std::make_unique<timeline_writer>(writer, clock, WallClock);
 }
 
-std::string LevelName(log_level level) {
-  switch (level) {
-    case log_level::kTrace:
-      return "TRACE";
-    case log_level::kDebug:
-      return "DEBUG";
-    case log_level::kInfo:
-      return "INFO";
-    case log_level::kWarning:
-      return "WARN";
-    case log_level::kError:
-      return "ERROR";
-  }
-  return "INFO";
+time_point SteadyClock() {
+  const auto since_start = std::chrono::steady_clock::now().time_since_epoch();
+  return time_point(std::chrono::duration_cast<duration>(since_start));
+}
+
+event_log_settings LogSettings(const process_settings& settings) {
+  event_log_settings log;
+  log.source = {settings.name, settings.zone, ""};
+  log.level = settings.level;
+  return log;
 }
 
 }  // namespace
@@ -79,10 +77,18 @@
     : settings_(settings),
       signals_(loop_, SIGTERM, SIGINT),
       random_(RandomNumber()),
-      counts_(settings.name, settings.zone) {
-  StartLog(LevelName(settings.level));
+      counts_(settings.name, settings.zone),
+      log_timer_(loop_) {
+  // A reader of the log that ends must not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
   timeline_ = OpenTimeline(settings, &clock_.clock());
-  log_ = std::make_unique<event_log>(settings.name, &counts_, timeline_.get());
+  log_ = std::make_unique<event_log>(
+      LogSettings(settings), &counts_,
+      [] {
+        return log_time{SteadyClock(), WallClock()};
+      },
+      [this] { asio::post(loop_, [this] { FlushLog(); }); });
+  log_->SetNext(timeline_.get());
   links_.key = settings.link_key;
   links_.self = {settings.name, settings.vm, settings.zone, role,
                  incarnation{RandomNumber()}};
@@ -110,16 +116,29 @@
         if (error) return;
         if (stopping_) return Stop();
         stopping_ = true;
-        events().OnEvent(
-            {event_id::kProcessStopping, {}, {}, {}, {}, {}, {}, {}, {}});
+        SayProcess(event_id::kProcessStopping, "");
         signals_.async_wait(on_signal);
         on_stop_();
       };
   signals_.async_wait(on_signal);
-  events().OnEvent(
-      {event_id::kProcessStarted, {}, {}, {}, {}, {}, {}, {}, "version 0.1.0"});
+  SayProcess(event_id::kProcessStarted, "version 0.1.0");
   loop_.run();
-  events().OnEvent({event_id::kProcessStopped, {}, {}, {}, {}, {}, {}, {}, {}});
+  SayProcess(event_id::kProcessStopped, "");
+}
+
+void process_frame::FlushLog() {
+  if (log_->Flush()) return;
+  log_timer_.expires_after(kLogRetry);
+  log_timer_.async_wait([this](asio::error_code error) {
+    if (!error) FlushLog();
+  });
+}
+
+void process_frame::SayProcess(event_id id, const std::string& detail) {
+  event what;
+  what.id = id;
+  what.detail = detail;
+  events().OnEvent(what);
 }
 
 void process_frame::Stop() { loop_.stop(); }
@@ -131,10 +150,7 @@
   tickers_.back()->Schedule();
 }
 
-time_point process_frame::Now() const {
-  const auto since_start = std::chrono::steady_clock::now().time_since_epoch();
-  return time_point(std::chrono::duration_cast<duration>(since_start));
-}
+time_point process_frame::Now() const { return SteadyClock(); }
 
 wall_time process_frame::WallNow() const { return WallClock(); }
 
--- a/src/daemon/process_frame.h
+++ b/src/daemon/process_frame.h
@@ -56,7 +56,7 @@
 
   asio::io_context& loop() { return loop_; }
   metrics& counts() { return counts_; }
-  event_listener& events() { return *log_; }
+  event_log& events() { return *log_; }
   link_clock& clock() { return clock_; }
   random_source& random() { return random_; }
   const link_settings& links() const { return links_; }
@@ -65,6 +65,9 @@
  private:
   struct ticker;
 
+  void FlushLog();
+  void SayProcess(event_id id, const std::string& detail);
+
   process_settings settings_;
   asio::io_context loop_;
   asio::signal_set signals_;
@@ -74,6 +77,7 @@
   std::unique_ptr<timeline_writer>
       timeline_;  // null where the settings name no file
   std::unique_ptr<event_log> log_;
+  asio::steady_timer log_timer_;  // tries again while lines wait
   link_settings links_;
   std::unique_ptr<http_server> http_;
   std::vector<std::unique_ptr<ticker>> tickers_;
