--- a/programs/tamaracklatch.cc
+++ b/programs/tamaracklatch.cc
@@ -9,6 +9,7 @@
 
 #include "tamaracklatch/daemon/check_command.h"
 #include "tamaracklatch/daemon/commands.h"
+#include "tamaracklatch/timeline/explain.h"
 #include "tamaracklatch/timeline/timeline_command.h"
 
 // The flag macros define names that the linter does not know.
@@ -43,6 +44,10 @@
   voters               the control VMs and who leads them
   voters add|remove VM  change who votes, one VM at a time
   timeline FILE...     merge the time lines of several processes in causal order
+  explain --flow ADDRESS:PORT LOG...
+                       the story of a caller's flow across the logs
+  explain --version N LOG...
+                       how a document set came into force
   check FILE...        validate settings and documents without running them
 )";
 
@@ -63,6 +68,10 @@
 
 int main(int argc, char** argv) {
   gflags::SetUsageMessage(kUsage);
+  // gflags has a --version of its own.
+  if (argc > 1 && std::string(argv[1]) == "explain")
+    return tamaracklatch::RunExplain({argv + 2, argv + argc}, std::cout,
+                                     std::cerr);
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   tamaracklatch::command_line line;
   line.arguments.assign(argv + 1, argv + argc);
--- a/src/daemon/event_log.h
+++ b/src/daemon/event_log.h
@@ -8,11 +8,11 @@
 #include <string>
 
 #include "daemon/log_budget.h"
-#include "daemon/log_line.h"
 #include "daemon/log_output.h"
 #include "daemon/metrics.h"
 #include "tamaracklatch/core/event.h"
 #include "tamaracklatch/daemon/settings.h"
+#include "timeline/log_line.h"
 
 namespace tamaracklatch {
 
--- a/src/daemon/log_line.cc
+++ b/src/timeline/log_line.cc
@@ -1,5 +1,5 @@
 // JSON by hand, into a buffer that is used again.
-#include "daemon/log_line.h"
+#include "timeline/log_line.h"
 
 #include <algorithm>
 #include <array>
--- a/src/timeline/timeline_entry.cc
+++ b/src/timeline/timeline_entry.cc
@@ -4,47 +4,23 @@
 #include <fmt/format.h>
 
 #include <array>
-#include <charconv>
 #include <cstdio>
 #include <ctime>
 #include <nlohmann/json.hpp>
 
+#include "timeline/json_fields.h"
+
 namespace tamaracklatch {
 namespace {
 
 constexpr std::int64_t kMicrosecondsPerSecond = 1'000'000;
 constexpr std::size_t kFractionDigits = 6;
 constexpr std::size_t kMaxDetail = 8 * 1024;  // bytes of a text in a line
-constexpr int kHexBase = 16;
 
 std::string Shortened(const std::string& text) {
   return text.size() <= kMaxDetail ? text : text.substr(0, kMaxDetail);
 }
 
-std::string TextAt(const nlohmann::json& line, const char* key) {
-  const auto found = line.find(key);
-  return found != line.end() && found->is_string() ? found->get<std::string>()
-                                                   : std::string();
-}
-
-std::uint64_t NumberAt(const nlohmann::json& line, const char* key) {
-  const auto found = line.find(key);
-  return found != line.end() && found->is_number_unsigned()
-             ? found->get<std::uint64_t>()
-             : 0;
-}
-
-std::optional<std::uint64_t> FlowAt(const nlohmann::json& line) {
-  const std::string digits = TextAt(line, "flow");
-  std::uint64_t flow = 0;
-  const char* end = digits.data() + digits.size();
-  const auto [stop, error] =
-      std::from_chars(digits.data(), end, flow, kHexBase);
-  if (digits.empty() || error != std::errc() || stop != end)
-    return std::nullopt;
-  return flow;
-}
-
 std::optional<timeline_entry> Malformed(const char* why,
                                         failure* last_failure) {
   SetFailure(last_failure, result_code::kTimelineLineMalformed, why);
@@ -114,7 +90,14 @@
   line["revision"] = what.at.value;
   // Parts that do not apply are left out.
   if (!what.service.empty()) line["service"] = Shortened(what.service);
+  if (what.version != 0) line["version"] = what.version;
+  if (!what.route.empty()) line["route"] = Shortened(what.route);
   if (what.flow) line["flow"] = fmt::format("{:016x}", *what.flow);
+  if (what.key) {
+    const flow_key& key = *what.key;
+    line["caller"] = ToString(endpoint{key.source, key.source_port});
+    line["address"] = ToString(endpoint{key.destination, key.destination_port});
+  }
   if (!what.request.empty()) line["request"] = Shortened(what.request);
   if (!what.submission.empty()) line["submission"] = Shortened(what.submission);
   if (!what.peer.empty()) line["peer"] = Shortened(what.peer);
@@ -123,6 +106,10 @@
     line["reason"] = ToString(what.code);
   }
   if (!what.detail.empty()) line["detail"] = Shortened(what.detail);
+  for (const event_input& input : what.inputs) {
+    std::visit([&](const auto& value) { line["inputs"][input.name] = value; },
+               input.value);
+  }
   return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
@@ -141,16 +128,7 @@
       number > UINT16_MAX) {
     return Malformed("stamp, process or number is missing", last_failure);
   }
-  event& what = entry.what;
-  what.id = static_cast<event_id>(number);
-  what.at = {NumberAt(json, "revision")};
-  what.service = TextAt(json, "service");
-  what.flow = FlowAt(json);
-  what.request = TextAt(json, "request");
-  what.submission = TextAt(json, "submission");
-  what.peer = TextAt(json, "peer");
-  what.code = static_cast<result_code>(NumberAt(json, "code") & UINT16_MAX);
-  what.detail = TextAt(json, "detail");
+  entry.what = EventAt(json);
   return entry;
 }
 
