--- a/src/daemon/steering_control.cc
+++ b/src/daemon/steering_control.cc
@@ -154,7 +154,7 @@
 }
 
 void steering_control::PublishSet() {
-  const auto& held = state_.documents();
+  const auto& held = state_.held_set();
   if (!held || held->version <= published_) return;
   published_ = held->version;
   roster_.SetDocuments(held->version, held->encoded_set);
@@ -202,8 +202,8 @@
 }
 
 void steering_control::Do(const propose_command& action) {
-  const std::uint64_t tag = action.command.tag;
-  consensus_.Propose(Encode(action.command), [this, tag](result_code code,
+  const std::uint64_t tag = action.tag;
+  consensus_.Propose(action.command, [this, tag](result_code code,
                                                          revision) {
     if (code == result_code::kOk) return;
     Perform(gate_.OnProposalRefused(tag, {code, "the log did not take it"}));
