--- a/include/tamaracklatch/daemon/settings.h
+++ b/include/tamaracklatch/daemon/settings.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <array>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -38,6 +39,11 @@
   std::uint64_t timeline_file_bytes =
       64ULL << 20U;  // a time line file is rotated at this size
   log_level level = log_level::kInfo;
+  // Of links: a frame is sent at least this often, a link without frames for
+  // the silence limit is closed, a connection must open within its limit.
+  std::chrono::milliseconds link_heartbeat{1000};
+  std::chrono::milliseconds link_silence{5000};
+  std::chrono::milliseconds link_connect{3000};
 };
 
 // One control VM.
--- a/src/daemon/process_frame.cc
+++ b/src/daemon/process_frame.cc
@@ -91,6 +91,9 @@
       [this] { asio::post(loop_, [this] { FlushLog(); }); });
   log_->SetNext(timeline_.get());
   links_.key = settings.link_key;
+  links_.heartbeat_interval = settings.link_heartbeat;
+  links_.silence_limit = settings.link_silence;
+  links_.connect_limit = settings.link_connect;
   links_.self = {settings.name, settings.vm, settings.zone, role,
                  incarnation{RandomNumber()}};
 }
--- a/src/daemon/steering_control.cc
+++ b/src/daemon/steering_control.cc
@@ -29,6 +29,8 @@
     for (const endpoint& seed : settings.seeds)
       result.consensus.founders.push_back(ToString(seed));
   }
+  result.consensus.heartbeat_interval = settings.heartbeat_interval;
+  result.consensus.election_timeout = settings.election_timeout;
   result.consensus.voter_goal = 2 * settings.tolerated_losses + 1;
   // A name is the text of the VM's own endpoint.
   result.resolve = [](const vm_name& name) {
@@ -203,8 +205,7 @@
 
 void steering_control::Do(const propose_command& action) {
   const std::uint64_t tag = action.tag;
-  consensus_.Propose(action.command, [this, tag](result_code code,
-                                                         revision) {
+  consensus_.Propose(action.command, [this, tag](result_code code, revision) {
     if (code == result_code::kOk) return;
     Perform(gate_.OnProposalRefused(tag, {code, "the log did not take it"}));
   });
--- a/src/transport/link.h
+++ b/src/transport/link.h
@@ -43,6 +43,8 @@
       1000};  // a frame is sent at least this often
   std::chrono::milliseconds silence_limit{
       5000};  // a link without frames for this long is closed
+  std::chrono::milliseconds connect_limit{
+      3000};  // a connection that does not open within this is given up
   std::size_t max_queued_bytes = 16 * 1024 * 1024;  // Send refuses past this
 };
 
--- a/src/transport/link_hub.cc
+++ b/src/transport/link_hub.cc
@@ -55,12 +55,18 @@
   opening.socket->async_connect(
       ToTcp(where),
       [this, peer](asio::error_code error) { OnConnected(peer, error); });
+  // A peer that is dark or cut off answers nothing.
+  opening.limit =
+      std::make_unique<asio::steady_timer>(*loop_, settings_.connect_limit);
+  opening.limit->async_wait([this, peer](asio::error_code error) {
+    if (!error) OnConnected(peer, asio::error::timed_out);
+  });
 }
 
 void link_hub::OnConnected(const std::string& peer, asio::error_code error) {
   if (error == asio::error::operation_aborted) return;
   const auto found = opening_.find(peer);
-  if (found == opening_.end()) return;
+  if (found == opening_.end() || !found->second.socket) return;
   if (error) {
     opening_.erase(found);
     if (down_handler_) down_handler_(peer);
@@ -71,6 +77,7 @@
       std::make_shared<link>(std::move(*opening.socket), link_side::kConnecting,
                              settings_, this, clock_);
   opening.socket.reset();
+  opening.limit.reset();
   opened_here_[opening.connected.get()] = peer;
   opening.connected->Start();
 }
--- a/src/transport/link_hub.h
+++ b/src/transport/link_hub.h
@@ -58,6 +58,7 @@
   // A connection that is being opened, and what waits for it.
   struct opening_link {
     std::unique_ptr<asio::ip::tcp::socket> socket;  // until it is connected
+    std::unique_ptr<asio::steady_timer> limit;      // until it is connected
     std::shared_ptr<link> connected;                // while the handshake runs
     std::vector<waiting_frame> waiting;
   };
