Keep refusals of openings from meeting a flow that a later copy opened

Random schedules showed resets of open flows: a reset late on its way while another copy opened the flow; a late copy of an opening at a daemon that had just restarted. A daemon that passes a first copy on now takes no later one, a balancer places none after a refusal, and a restarted daemon asks its target.

--- a/include/tamaracklatch/steering/segment_owner.h
+++ b/include/tamaracklatch/steering/segment_owner.h
@@ -73,7 +73,7 @@
 // Tell the balancer.
 struct tell_balancer {
   endpoint to;
-  steering_header header;  // kOwner or kUnknown
+  steering_header header;  // kOwner, kUnknown or kRefused
 };
 
 struct discard_segment {
@@ -118,6 +118,8 @@
 
   void OnOpening(const steering_header& header, const segment& what,
                  time_point now, actions* out);
+  void JudgeClaim(const steering_header& header, const segment& what,
+                  owned_flow* flow, time_point now);
   void OnReturned(const segment& what, time_point now, actions* out);
   void PassOpening(steering_header header, const segment& what, result_code why,
                    bool is_sure, time_point now, actions* out);
@@ -137,7 +139,8 @@
   void Pass(std::uint32_t target, const steering_header& header,
             const segment& what, actions* out);
   void TellOwner(const steering_header& header, owned_flow* flow, actions* out);
-  void TellUnknown(const steering_header& header, actions* out);
+  void TellNotHere(steering_kind kind, const steering_header& header,
+                   actions* out);
   void Reset(const segment& what, result_code why, actions* out);
   void Discard(result_code why, actions* out);
   void Forget(const owned_flow& flow, result_code why);
@@ -154,6 +157,7 @@
   target_status status_;
   std::uint64_t target_start_ = 0;  // the last that was told, or 0
   time_point target_told_;          // when the target was reported last
+  time_point started_;
   // Until then the target may hold flows that are unknown here.
   time_point blind_until_;
   duration idle_timeout_{0};
@@ -163,6 +167,9 @@
   std::unique_ptr<delivery_memory> deliveries_;
   std::unique_ptr<recent_flows> searched_;  // told of
   std::unique_ptr<recent_flows> ended_;     // searches that ended, told of
+  // Flows whose opening was passed on and may be refused by another: no copy
+  // of it is taken here.
+  std::unique_ptr<recent_flows> passed_;
   time_point swept_;
   std::vector<std::uint32_t> ranked_;  // scratch
   segment_owner_counters counters_;
--- a/include/tamaracklatch/steering/segment_router.h
+++ b/include/tamaracklatch/steering/segment_router.h
@@ -5,7 +5,7 @@
 //   router.SetRoutes(set, now);
 //   router.UpdateTarget(entry);          // for each change of the roster
 //   auto decision = router.Route(segment, now);
-//   router.OnOwner(header, from, now);   // kOwner and kUnknown
+//   router.OnOwner(header, from, now);   // kOwner, kUnknown and kRefused
 #pragma once
 
 #include <cstdint>
--- a/include/tamaracklatch/steering/steering_counters.h
+++ b/include/tamaracklatch/steering/steering_counters.h
@@ -14,7 +14,7 @@
   std::uint64_t guessed = 0;   // segments to the opening's first choice
   std::uint64_t searched = 0;  // segments along the search order
   std::uint64_t hints = 0;     // kOwner
-  std::uint64_t unknown = 0;   // kUnknown
+  std::uint64_t unknown = 0;   // kUnknown and kRefused
   refusal_counters refused;    // with a reset
   refusal_counters dropped;    // without
 };
--- a/include/tamaracklatch/steering/steering_header.h
+++ b/include/tamaracklatch/steering/steering_header.h
@@ -28,6 +28,7 @@
   kSegment = 1,  // towards a target
   kOwner = 2,    // to a balancer: the sender owns the flow
   kUnknown = 3,  // to a balancer: no target asked owns the flow any more
+  kRefused = 4,  // to a balancer: the caller is sent a reset for its opening
 };
 
 // Invariants: service_count >= 1 for kSegment; visit_count <=
--- a/src/steering/opening_memory.h
+++ b/src/steering/opening_memory.h
@@ -23,6 +23,7 @@
     time_point first_searched;
     time_point searched;
     std::uint32_t searches = 0;
+    bool refused = false;
 
     bool IsPlaced() const {
       return std::any_of(chosen.begin(), chosen.end(), [](target_index target) {
--- a/src/steering/owned_flows.h
+++ b/src/steering/owned_flows.h
@@ -27,6 +27,7 @@
   bool target_finished = false;
   bool waits = false;            // the caller has sent, the target not since
   bool caller_sent = false;      // `caller_end` is set
+  std::uint8_t handed = 0;       // openings handed to the target, less returned
   std::uint32_t first = 0;       // what the target's sequence starts from
   std::uint32_t end = 0;         // past the last byte that the target sent
   std::uint32_t caller_end = 0;  // past the last byte of the caller
--- a/src/steering/recent_flows.h
+++ b/src/steering/recent_flows.h
@@ -1,9 +1,10 @@
-// Remembers of which flows something was told of late, so that an event comes
-// once a flow and not once a segment.
+// Flows that were noted of late. Bounded; a newer one takes
+// the place of an older one.
 #pragma once
 
-#include <array>
+#include <cstddef>
 #include <cstdint>
+#include <vector>
 
 #include "tamaracklatch/core/time.h"
 
@@ -11,11 +12,18 @@
 
 class recent_flows {
  public:
+  // `entries` is a power of two.
+  explicit recent_flows(std::size_t entries) : entries_(entries) {}
+
+  bool Has(std::uint64_t flow, time_point now) const {
+    const entry& place = entries_[PlaceOf(flow)];
+    return place.flow == flow && now - place.noted < kKeptFor;
+  }
+
   // Whether the flow was not noted in the last seconds; notes it.
   bool Note(std::uint64_t flow, time_point now) {
-    entry& place = entries_[flow >> 32U & (kEntries - 1)];
-    if (place.flow == flow && now - place.noted < kKeptFor) return false;
-    place = {flow, now};
+    if (Has(flow, now)) return false;
+    entries_[PlaceOf(flow)] = {flow, now};
     return true;
   }
 
@@ -25,10 +33,13 @@
     time_point noted;
   };
 
-  static constexpr std::size_t kEntries = 256;
-  static constexpr std::chrono::seconds kKeptFor{2};
+  static constexpr std::chrono::seconds kKeptFor{3};
+
+  std::size_t PlaceOf(std::uint64_t flow) const {
+    return flow >> 32U & (entries_.size() - 1);
+  }
 
-  std::array<entry, kEntries> entries_{};
+  std::vector<entry> entries_;
 };
 
 }  // namespace tamaracklatch
--- a/src/steering/segment_owner.cc
+++ b/src/steering/segment_owner.cc
@@ -30,8 +30,15 @@
 // A claimed flow is kept for this beyond the idle time-out.
 constexpr std::chrono::seconds kIdleMargin{2};
 
+// Copies of an opening come within this, and a refusal reaches its caller.
+constexpr std::chrono::seconds kPromiseTime{2};
+
 constexpr std::chrono::milliseconds kSweepEvery{500};
 
+// Flows remembered of late: those that events told of, and openings passed on.
+constexpr std::size_t kToldFlows = 256;
+constexpr std::size_t kPassedFlows = 4096;
+
 double LoadOfSlot(const directory_target& target) {
   return static_cast<double>(target.load) / (256.0 * target.slots);
 }
@@ -46,13 +53,15 @@
       listener_(listener),
       service_(ServiceTag(settings.service)),
       node_(NodeTag(settings.self)),
+      started_(now),
       blind_until_(now + settings.max_flow_age),
       targets_(std::make_unique<target_directory>(settings.zone,
                                                   settings.max_flow_age)),
       flows_(std::make_unique<owned_flows>(settings.max_flows, now)),
       deliveries_(std::make_unique<delivery_memory>()),
-      searched_(std::make_unique<recent_flows>()),
-      ended_(std::make_unique<recent_flows>()),
+      searched_(std::make_unique<recent_flows>(kToldFlows)),
+      ended_(std::make_unique<recent_flows>(kToldFlows)),
+      passed_(std::make_unique<recent_flows>(kPassedFlows)),
       swept_(now) {
   assert(codec != nullptr);
 }
@@ -104,22 +113,8 @@
     }
     return;
   }
-  if (flow->phase == flow_phase::kPending && what.tcp.ack) {
-    if (flow->Acknowledges(what.tcp.acknowledged)) {
-      flows_->SetPhase(flow, flow_phase::kClaimed);
-      ++counters_.claimed;
-      Tell(event_id::kFlowClaimed, hash, what.key, result_code::kOk,
-           ToString(header.balancer),
-           fmt::format("{} ms after the opening",
-                       (now - flow->opened) / std::chrono::milliseconds(1)));
-    } else {
-      flows_->SetPhase(flow, flow_phase::kDropped);
-      flow->active = now;
-      Tell(event_id::kClaimDropped, hash, what.key,
-           result_code::kOtherTargetChosen, ToString(header.balancer),
-           flow->answered ? "answered" : "not answered yet");
-    }
-  }
+  if (flow->phase == flow_phase::kPending && what.tcp.ack)
+    JudgeClaim(header, what, flow, now);
   if (flow->phase == flow_phase::kDropped) {
     Search(header, what, true, now, actions);
     return;
@@ -128,6 +123,29 @@
   Deliver(header, what, flow, now, actions);
 }
 
+// The first segment after the opening tells whose answer the caller took.
+void segment_owner::JudgeClaim(const steering_header& header,
+                               const segment& what, owned_flow* flow,
+                               time_point now) {
+  if (flow->Acknowledges(what.tcp.acknowledged)) {
+    flows_->SetPhase(flow, flow_phase::kClaimed);
+    ++counters_.claimed;
+    Tell(event_id::kFlowClaimed, flow->hash, what.key, result_code::kOk,
+         ToString(header.balancer),
+         fmt::format("{} ms after the opening",
+                     (now - flow->opened) / std::chrono::milliseconds(1)));
+    return;
+  }
+  // A late copy of the opening of a flow that is open since before the own
+  // start; the target knows.
+  if (!flow->answered && IsBlind(flow->opened)) return;
+  flows_->SetPhase(flow, flow_phase::kDropped);
+  flow->active = now;
+  Tell(event_id::kClaimDropped, flow->hash, what.key,
+       result_code::kOtherTargetChosen, ToString(header.balancer),
+       flow->answered ? "answered" : "not answered yet");
+}
+
 void segment_owner::OnOpening(const steering_header& header,
                               const segment& what, time_point now,
                               std::vector<segment_action>* actions) {
@@ -141,27 +159,34 @@
     return;
   }
   if (header.services[0] != service_) {
-    TellUnknown(header, actions);
+    TellNotHere(steering_kind::kUnknown, header, actions);
     PassOpening(header, what, result_code::kNotThisTarget, false, now, actions);
     return;
   }
-  const result_code why =
-      flow != nullptr && status_.condition == target_condition::kReady
-          ? result_code::kOk
-          : WhyNot();
+  if (flow != nullptr) {
+    // The handshake goes on, unless the target takes no openings any more.
+    if (status_.condition == target_condition::kReady) {
+      Deliver(header, what, flow, now, actions);
+    } else {
+      Discard(result_code::kTargetDraining, actions);
+    }
+    return;
+  }
+  // A daemon that was here before may have passed the first copy on.
+  const bool is_promised = passed_->Has(header.flow, now) ||
+                           (what.copy > 0 && now - started_ < kPromiseTime);
+  const result_code why = is_promised ? result_code::kTargetFull : WhyNot();
   if (why != result_code::kOk) {
     PassOpening(header, what, why, false, now, actions);
     return;
   }
+  if (PassWhileBusy(header, what, now, actions)) return;
+  flow = flows_->Add(what.key, header.flow, now);
   if (flow == nullptr) {
-    if (PassWhileBusy(header, what, now, actions)) return;
-    flow = flows_->Add(what.key, header.flow, now);
-    if (flow == nullptr) {
-      PassOpening(header, what, result_code::kTargetFull, false, now, actions);
-      return;
-    }
-    ++counters_.taken;
+    PassOpening(header, what, result_code::kTargetFull, false, now, actions);
+    return;
   }
+  ++counters_.taken;
   Deliver(header, what, flow, now, actions);
 }
 
@@ -200,11 +225,12 @@
   }
   if (flow == nullptr && !what.tcp.rst) {
     flow = flows_->Add(what.key, hash, now);
-    if (flow == nullptr) {
-      blind_until_ = now + settings_.max_flow_age;
-    } else if (!what.tcp.syn) {
-      flows_->SetPhase(flow, flow_phase::kClaimed);
-    }
+    if (flow == nullptr) blind_until_ = now + settings_.max_flow_age;
+  }
+  // The target goes on with a flow only when it has the caller's answer.
+  if (flow != nullptr && flow->phase == flow_phase::kPending && !what.tcp.syn &&
+      !what.tcp.rst) {
+    flows_->SetPhase(flow, flow_phase::kClaimed);
   }
   if (flow != nullptr) flows_->OnSent(flow, what.tcp, now);
   ++counters_.answered;
@@ -230,10 +256,13 @@
     return;
   }
   if (what.opens()) {
-    if (flow != nullptr &&
-        (flow->answered || flow->phase != flow_phase::kPending)) {
-      Discard(result_code::kNotThisTarget, actions);
-      return;
+    if (flow != nullptr) {
+      if (flow->handed > 0) --flow->handed;
+      if (flow->handed > 0 || flow->answered ||
+          flow->phase != flow_phase::kPending) {
+        Discard(result_code::kNotThisTarget, actions);
+        return;
+      }
     }
     flows_->Erase(hash);
     PassOpening(header, what, result_code::kTargetFull, true, now, actions);
@@ -249,7 +278,7 @@
     return;
   }
   // The caller took this target's answer, so nobody else holds the flow.
-  TellUnknown(header, actions);
+  TellNotHere(steering_kind::kUnknown, header, actions);
   if (what.tcp.rst) {
     Discard(result_code::kFlowLost, actions);
     return;
@@ -267,6 +296,9 @@
                                 result_code why, bool is_sure, time_point now,
                                 std::vector<segment_action>* actions) {
   const bool visited = Visit(&header, is_sure, now);
+  // Who comes last may refuse the flow, so no later copy is taken here.
+  if (what.copy == 0 && header.confirmed && !header.uncertain)
+    passed_->Note(header.flow, now);
   if (visited && header.visit_count <= kMaxOpeningVisits) {
     target_index next = LeastLoaded(header);
     // Only the first copy may be refused, and only once all were asked.
@@ -373,7 +405,11 @@
                               std::vector<segment_action>* actions) {
   const bool may_reset = what.opens() ? what.copy == 0 : !what.tcp.rst;
   const bool resets = may_reset && IsNowhereOpen(header);
-  if (!what.opens()) TellUnknown(header, actions);
+  if (!what.opens()) {
+    TellNotHere(steering_kind::kUnknown, header, actions);
+  } else if (resets) {
+    TellNotHere(steering_kind::kRefused, header, actions);
+  }
   if (ended_->Note(header.flow, now)) {
     Tell(resets ? event_id::kSegmentReset : event_id::kSearchFailed,
          header.flow, what.key, why, "",
@@ -405,7 +441,10 @@
                             owned_flow* flow, time_point now,
                             std::vector<segment_action>* actions) {
   ++counters_.delivered;
-  if (flow != nullptr) flows_->OnDelivered(flow, what.tcp, now);
+  if (flow != nullptr) {
+    flows_->OnDelivered(flow, what.tcp, now);
+    if (what.opens() && flow->handed < UINT8_MAX) ++flow->handed;
+  }
   deliver_segment delivered{std::string(what.bytes)};
   codec_->MarkDelivery(&delivered.bytes, deliveries_->Remember(header));
   actions->push_back(std::move(delivered));
@@ -436,12 +475,13 @@
   actions->push_back(tell_balancer{header.balancer, hint});
 }
 
-void segment_owner::TellUnknown(const steering_header& header,
+void segment_owner::TellNotHere(steering_kind kind,
+                                const steering_header& header,
                                 std::vector<segment_action>* actions) {
   if (header.balancer.port == 0) return;
   ++counters_.hints;
   steering_header hint;
-  hint.kind = steering_kind::kUnknown;
+  hint.kind = kind;
   hint.flow = header.flow;
   hint.balancer = header.balancer;
   hint.visit_count = header.visit_count;
--- a/src/steering/segment_router.cc
+++ b/src/steering/segment_router.cc
@@ -37,6 +37,9 @@
 // for as long is not one that opened at a target unknown to others.
 constexpr std::chrono::seconds kRosterSettles{1};
 
+// Flows remembered of which events told.
+constexpr std::size_t kToldFlows = 256;
+
 // Makes the choice of the service independent of that of the target.
 constexpr std::uint64_t kShareSalt = 0x73686172650a0a0a;
 
@@ -60,7 +63,7 @@
                                                   settings.max_flow_age)),
       owners_(std::make_unique<hint_cache>(settings.max_cached_flows)),
       openings_(std::make_unique<opening_memory>()),
-      told_(std::make_unique<recent_flows>()) {}
+      told_(std::make_unique<recent_flows>(kToldFlows)) {}
 
 segment_router::~segment_router() = default;
 
@@ -138,6 +141,9 @@
     const directory_target& target = targets_->At(owner->target);
     if (target.where == from || hint.HasVisited(target.node))
       owners_->Remove(hint.flow);
+  } else if (hint.kind == steering_kind::kRefused) {
+    ++counters_.unknown;
+    openings_->Get(hint.flow, now)->refused = true;
   }
 }
 
@@ -148,7 +154,11 @@
   const auto found =
       routes_.find(endpoint{what.key.destination, what.key.destination_port});
   if (found == routes_.end()) {
-    if (!confirmed_) return Drop(result_code::kRouteUnknown);
+    opening_memory::entry* known = openings_->Get(flow, now);
+    if (!confirmed_ || (known->refused && what.opens()))
+      return Drop(result_code::kRouteUnknown);
+    // The route may come with a later set, before the reset has arrived.
+    known->refused = true;
     return Refuse(what, flow, result_code::kRouteUnknown, now);
   }
   return what.opens() ? RouteOpening(found->second, what, flow, now)
@@ -199,6 +209,8 @@
                                                const segment& what,
                                                std::uint64_t flow,
                                                time_point now) {
+  // A refusal on its way must not meet a flow that a later copy opened.
+  if (openings_->Get(flow, now)->refused) return Drop(result_code::kNoTarget);
   const std::size_t chosen = ChooseShare(by, flow);
   for (std::size_t step = 0; step < by.shares.size(); ++step) {
     const std::size_t share = (chosen + step) % by.shares.size();
@@ -224,10 +236,12 @@
     sent_[target] = {SentOpenings(target, now) + 1.0, now};
     return Forward(target, MakeHeader(by, share, flow, now));
   }
-  // Another copy may have opened the flow.
-  if (what.copy > 0 || openings_->Get(flow, now)->IsPlaced())
+  // The target daemons know whether the flow is open, and may refuse it.
+  const steering_header header = MakeHeader(by, chosen, flow, now);
+  const owner_search& search = targets_->ListOwners(header, now);
+  if (what.copy > 0 || search.alive.empty())
     return Drop(result_code::kNoTarget);
-  return Refuse(what, flow, result_code::kNoTarget, now);
+  return Forward(search.alive.front(), header);
 }
 
 // Ranks the targets that an opening may go to; false where there are none.
--- a/src/steering/steering_header.cc
+++ b/src/steering/steering_header.cc
@@ -19,11 +19,11 @@
 constexpr std::uint8_t kMagic = 0x5a;
 constexpr std::uint8_t kVersion = 1;
 
-constexpr std::uint8_t kKindMask = 0x03;
-constexpr std::uint8_t kConfirmedFlag = 0x04;
-constexpr std::uint8_t kUncertainFlag = 0x08;
-constexpr std::uint8_t kV6Flag = 0x10;
-constexpr std::uint8_t kVersionShift = 5;
+constexpr std::uint8_t kKindMask = 0x07;
+constexpr std::uint8_t kConfirmedFlag = 0x08;
+constexpr std::uint8_t kUncertainFlag = 0x10;
+constexpr std::uint8_t kV6Flag = 0x20;
+constexpr std::uint8_t kVersionShift = 6;
 
 constexpr std::size_t kV4Offset = 12;  // of an IPv4 address in its mapped form
 constexpr std::size_t kMaxBytes =
@@ -133,7 +133,8 @@
   header.visit_count = reader.Read<std::uint8_t>();
   const bool needs_service = header.kind == steering_kind::kSegment;
   if (reader.ok() &&
-      ((flags & kKindMask) == 0 ||
+      (header.kind < steering_kind::kSegment ||
+       header.kind > steering_kind::kRefused ||
        header.service_count > kMaxSteeringServices ||
        header.visit_count > kMaxSteeringVisits || (v6 && address.IsV4()) ||
        (needs_service && header.service_count == 0))) {
