--- a/include/tamaracklatch/steering/segment_router.h
+++ b/include/tamaracklatch/steering/segment_router.h
@@ -114,7 +114,8 @@
                 time_point now);
   std::size_t ChooseShare(const route& by, std::uint64_t flow) const;
   steering_header MakeHeader(const route& by, std::size_t share,
-                             std::uint64_t flow, time_point now) const;
+                             std::uint64_t flow, duration flow_age,
+                             time_point now) const;
   steering_decision RouteOpening(const route& by, const segment& what,
                                  std::uint64_t flow, time_point now);
   steering_decision RouteOther(const route& by, const segment& what,
--- a/src/steering/segment_router.cc
+++ b/src/steering/segment_router.cc
@@ -29,6 +29,9 @@
 // By then a record tells of the openings that were sent.
 constexpr std::chrono::seconds kOpeningReported{1};
 
+// The first copy of an opening was sent within this.
+constexpr std::chrono::seconds kOpeningAge{2};
+
 // A segment of a flow without a known owner that comes later than this after
 // the last one is a retransmission.
 constexpr std::chrono::milliseconds kSearchAgain{150};
@@ -179,13 +182,14 @@
 
 steering_header segment_router::MakeHeader(const route& by, std::size_t share,
                                            std::uint64_t flow,
+                                           duration flow_age,
                                            time_point now) const {
   steering_header header;
   header.flow = flow;
   header.balancer = settings_.self;
   header.set_version = set_version_;
   // Sets from before the own start may have had other services.
-  bool complete = now - first_set_ >= settings_.max_flow_age;
+  bool complete = now - first_set_ >= flow_age;
   const auto add = [&](std::uint32_t tag) {
     if (header.HasService(tag)) return;
     if (header.service_count == kMaxSteeringServices) {
@@ -234,10 +238,10 @@
       listener_->OnEvent(placed);
     }
     sent_[target] = {SentOpenings(target, now) + 1.0, now};
-    return Forward(target, MakeHeader(by, share, flow, now));
+    return Forward(target, MakeHeader(by, share, flow, kOpeningAge, now));
   }
   // The target daemons know whether the flow is open, and may refuse it.
-  const steering_header header = MakeHeader(by, chosen, flow, now);
+  const steering_header header = MakeHeader(by, chosen, flow, kOpeningAge, now);
   const owner_search& search = targets_->ListOwners(header, now);
   if (what.copy > 0 || search.alive.empty())
     return Drop(result_code::kNoTarget);
@@ -307,7 +311,8 @@
                                              const segment& what,
                                              std::uint64_t flow,
                                              time_point now) {
-  steering_header header = MakeHeader(by, ChooseShare(by, flow), flow, now);
+  steering_header header =
+      MakeHeader(by, ChooseShare(by, flow), flow, settings_.max_flow_age, now);
   if (const hint_cache::entry* owner = owners_->Find(flow, now)) {
     const directory_target& target = targets_->At(owner->target);
     if (target.HasEnded(owner->target_start))
