--- a/tests/steering/steering_world.cc
+++ b/tests/steering/steering_world.cc
@@ -15,8 +15,8 @@
 
 // No set names the last; its targets must get nothing.
 const std::vector<std::string>& Services() {
-  static const std::vector<std::string> names{"web", "shop", "idle"};
-  return names;
+  static const std::vector<std::string> kNames{"web", "shop", "idle"};
+  return kNames;
 }
 
 }  // namespace
@@ -199,7 +199,7 @@
       case 3:  // the target crashes and starts again
         CrashServer(where);
         After(UpTo(milliseconds(900)), [this, where] {
-          if (where->target == nullptr && where->record.service != "")
+          if (where->target == nullptr && !where->record.service.empty())
             StartServer(where, where->record.service);
         });
         break;
--- /dev/null
+++ b/tests/steering/target_directory_test.cc
@@ -0,0 +1,164 @@
+// Tests of the order in which the owner of a flow is searched.
+#include "steering/target_directory.h"
+
+#include "steering/segments.h"
+#include "support/property.h"
+
+namespace tamaracklatch {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using test::kStart;
+using test::TargetAt;
+
+constexpr duration kMaxFlowAge = seconds(60);
+
+steering_header HeaderOf(std::uint64_t flow) {
+  steering_header header;
+  header.flow = flow;
+  header.service_count = 2;
+  header.services[0] = ServiceTag("web");
+  header.services[1] = ServiceTag("shop");
+  return header;
+}
+
+Test(directory, searches_each_owner_once_from_any_start) {
+  test::CheckProperty("search", [] {
+    target_directory directory("a", kMaxFlowAge);
+    const auto count = *rc::gen::inRange<std::uint32_t>(1, 20);
+    for (std::uint32_t number = 0; number < count; ++number) {
+      roster_entry entry =
+          TargetAt(number, *rc::gen::element<std::string>("web", "shop"));
+      entry.liveness =
+          *rc::gen::element(node_liveness::kAlive, node_liveness::kSilent);
+      directory.Update(entry, kStart);
+    }
+    steering_header header = HeaderOf(*rc::gen::arbitrary<std::uint64_t>());
+    const owner_search search = directory.ListOwners(header, kStart);
+    RC_ASSERT(search.size() == count);
+    // From one alive target on to the next, then to those not heard of.
+    const std::size_t alive = search.alive.size();
+    const auto start =
+        alive == 0 ? 0 : *rc::gen::inRange<std::size_t>(0, alive);
+    endpoint self;
+    for (std::size_t step = 0; step < count; ++step) {
+      RC_ASSERT(!directory.AllVisited(header));
+      const target_index next = step == 0 && alive > 0
+                                    ? search.alive[start]
+                                    : directory.NextOwner(header, self, kStart);
+      RC_ASSERT(next != kNoTargetIndex);
+      if (step < alive) RC_ASSERT(next == search.alive[(start + step) % alive]);
+      RC_ASSERT(header.AddVisit(directory.At(next).node));
+      self = directory.At(next).where;
+    }
+    RC_ASSERT(directory.NextOwner(header, self, kStart) == kNoTargetIndex);
+    RC_ASSERT(directory.AllVisited(header));
+  });
+}
+
+Test(directory, orders_alike_however_it_learned) {
+  target_directory one("a", kMaxFlowAge);
+  target_directory two("b", kMaxFlowAge);
+  constexpr std::uint32_t kCount = 12;
+  for (std::uint32_t number = 0; number < kCount; ++number) {
+    one.Update(TargetAt(number, "web"), kStart);
+    two.Update(TargetAt(kCount - 1 - number, "web"), kStart);
+  }
+  for (std::uint64_t flow = 1; flow < 50; ++flow) {
+    const owner_search first = one.ListOwners(HeaderOf(flow), kStart);
+    const owner_search second = two.ListOwners(HeaderOf(flow), kStart);
+    for (std::size_t at = 0; at < kCount; ++at) {
+      cr_assert(one.At(first.alive[at]).where ==
+                two.At(second.alive[at]).where);
+    }
+  }
+}
+
+Test(directory, asks_silent_targets_in_turn) {
+  target_directory directory("a", kMaxFlowAge);
+  for (std::uint32_t number = 0; number < 2; ++number) {
+    roster_entry entry = TargetAt(number, "web");
+    entry.liveness = node_liveness::kSilent;
+    directory.Update(entry, kStart);
+  }
+  const steering_header header = HeaderOf(7);
+  directory.ListOwners(header, kStart);
+  cr_assert(
+      directory.NextOwner(header, endpoint(), kStart) !=
+      directory.NextOwner(header, endpoint(), kStart + milliseconds(150)));
+}
+
+Test(directory, lists_whoever_may_hold_a_flow) {
+  struct row {
+    const char* name;
+    target_condition condition;
+    node_liveness liveness;
+    std::uint64_t start;
+    seconds later;
+    std::size_t alive;
+    std::size_t silent;
+  };
+  constexpr auto kReady = target_condition::kReady;
+  constexpr auto kAbsent = target_condition::kAbsent;
+  constexpr auto kAlive = node_liveness::kAlive;
+  constexpr auto kGone = node_liveness::kGone;
+  constexpr row kRows[] = {
+      {"ready", kReady, kAlive, 100, seconds(0), 1, 0},
+      {"draining", target_condition::kDraining, kAlive, 100, seconds(0), 1, 0},
+      {"absent", kAbsent, kAlive, 0, seconds(0), 1, 0},
+      {"silent", kReady, node_liveness::kSilent, 100, seconds(99), 0, 1},
+      {"daemon gone", kReady, kGone, 100, seconds(59), 0, 1},
+      {"daemon long gone", kReady, kGone, 100, seconds(60), 0, 0},
+      {"target gone before", kAbsent, kGone, 0, seconds(0), 0, 0}};
+  for (const row& each : kRows) {
+    target_directory directory("a", kMaxFlowAge);
+    roster_entry entry = TargetAt(1, "web");
+    directory.Update(entry, kStart);
+    entry.record.condition = each.condition;
+    entry.record.target_start = each.start;
+    entry.liveness = each.liveness;
+    directory.Update(entry, kStart);
+    const owner_search& search =
+        directory.ListOwners(HeaderOf(1), kStart + each.later);
+    cr_assert(search.alive.size() == each.alive, "%s", each.name);
+    cr_assert(search.silent.size() == each.silent, "%s", each.name);
+  }
+}
+
+Test(directory, lists_an_address_under_its_last_service_only) {
+  target_directory directory("a", kMaxFlowAge);
+  directory.Update(TargetAt(1, "web"), kStart);
+  directory.Update(TargetAt(1, "idle"), kStart);
+  cr_assert(directory.ListOwners(HeaderOf(1), kStart).size() == 0);
+  roster_entry balancer = TargetAt(2, "web");
+  balancer.record.role = node_role::kBalancer;
+  cr_assert(!directory.Update(balancer, kStart));
+}
+
+Test(directory, sees_that_two_targets_share_a_tag) {
+  // More targets than tags leave no doubt that two share one.
+  target_directory directory("a", kMaxFlowAge);
+  std::uint32_t number = 0;
+  std::uint32_t twin = 0;
+  std::vector<std::uint32_t> seen(65536, UINT32_MAX);
+  for (;; ++number) {
+    std::uint32_t& first = seen[NodeTag(test::DaemonAt(number))];
+    if (first != UINT32_MAX) {
+      twin = first;
+      break;
+    }
+    first = number;
+  }
+  directory.Update(TargetAt(number, "web"), kStart);
+  steering_header header = HeaderOf(1);
+  header.AddVisit(NodeTag(test::DaemonAt(number)));
+  directory.ListOwners(header, kStart);
+  cr_assert(directory.AllVisited(header));
+  directory.Update(TargetAt(twin, "web"), kStart);
+  directory.ListOwners(header, kStart);
+  cr_assert(!directory.AllVisited(header));
+}
+
+}  // namespace
+}  // namespace tamaracklatch
