--- a/include/tamaracklatch/roster/roster_hub.h
+++ b/include/tamaracklatch/roster/roster_hub.h
@@ -80,6 +80,7 @@
     std::uint64_t position = 0;  // of the last change that is told
     std::uint64_t number = 0;    // of the newest announcement
     time_point heard;            // when that came
+    time_point heard_run;        // the same, as run time
     std::uint64_t known = 0;     // position up to which the node knows
     std::uint64_t floor = 0;     // highest generation that some member holds
     std::uint64_t told_sequence = 0;
@@ -112,6 +113,8 @@
   void Expire(time_point now);
   void AdjustInterval(time_point now);
   duration silence() const;
+  duration memory() const;
+  time_point Run(time_point now) const { return now - held_up_; }
   duration load_interval() const;
   void OnAnnounce(const endpoint& from, std::string_view bytes, time_point now,
                   sends* out);
@@ -134,14 +137,17 @@
   roster_hub_settings settings_;
   event_listener* listener_;
   std::uint64_t instance_;
-  time_point started_;      // or started over
-  time_point called_;       // last
-  time_point tick_;         // when to look for silent nodes next
-  time_point grace_;        // before it nobody becomes silent
+  time_point started_;  // or started over
+  time_point called_;   // last
+  time_point tick_;     // when to look for silent nodes next
+  // For how long calls came late. It does not count for anyone's silence: run
+  // time is the time less this.
+  duration held_up_{0};
   duration interval_;       // that nodes are asked to announce at
   duration held_interval_;  // that some may still announce at
   time_point held_until_;
-  std::uint64_t position_ = 0;  // of the newest change
+  std::uint64_t position_ = 0;   // of the newest change
+  std::uint64_t forgotten_ = 0;  // highest position of a forgotten entry
   std::size_t alive_ = 0;
   std::optional<time_point> push_at_;
   documents documents_;
--- a/include/tamaracklatch/roster/roster_member.h
+++ b/include/tamaracklatch/roster/roster_member.h
@@ -124,6 +124,7 @@
     // What it said last.
     std::uint64_t instance = 0;  // 0: nothing yet
     std::uint64_t position = 0;
+    std::uint64_t base = 0;  // its newest position when we knew nothing
     std::uint64_t stamp = 0;
     time_point stamped;  // when that came
     duration interval{0};
@@ -136,8 +137,7 @@
     bool answers = false;
     bool is_whole = false;  // told all up to its newest position since
     time_point heard;       // when it surely ran
-    time_point grace;       // not lost before
-    time_point lost;        // when it last stopped to answer
+    time_point heard_run;   // the same, as run time
 
     // Announcements.
     static constexpr std::size_t kKept = 32;
@@ -158,12 +158,14 @@
     hub_mask silent = 0;
   };
 
-  void Notice(time_point now, actions* out);
+  void Notice(time_point now);
   void AddLink(const endpoint& where, bool is_seed, time_point now);
   void DropLink(const endpoint& where, time_point now, actions* out);
   void FollowControls(time_point now, actions* out);
   void ForgetClaims(hub_link* link, time_point now, actions* out);
   duration Silence(const hub_link& link) const;
+  duration Memory() const;
+  time_point Run(time_point now) const { return now - held_up_; }
   duration Pause(const hub_link& link) const;
   void Announce(hub_link* link, time_point now, actions* out);
   void AnnounceSoon(hub_link* link, time_point now, actions* out);
@@ -177,6 +179,8 @@
                     actions* out);
   void ApplyEntry(hub_link* link, const told_entry& told, time_point now,
                   actions* out);
+  void StartEntry(roster_entry* entry, const told_entry& told, time_point now,
+                  actions* out);
   void RaiseGeneration(std::uint64_t held, time_point now, actions* out);
   void SetWhole(hub_link* link, bool whole);
   void Reconsider(time_point now, actions* out);
@@ -196,9 +200,10 @@
   std::map<endpoint, claims> claims_;  // the same keys as entries_
   std::map<endpoint, hub_link> links_;
   hub_mask used_bits_ = 0;
-  hub_mask whole_ = 0;       // hubs whose word counts
-  hub_mask settled_ = 0;     // of these, those that have heard all nodes
-  bool was_whole_ = false;   // a settled hub has told its whole roster
+  hub_mask whole_ = 0;    // hubs whose word counts
+  hub_mask settled_ = 0;  // of these, those that have heard all nodes
+  // When a settled hub that has told its whole roster was last heard.
+  std::optional<time_point> settled_heard_;
   bool reconsider_ = false;  // whose word counts has changed
   bool controls_changed_ = false;
   // Hubs that say of an endpoint that an earlier start than ours is alive.
@@ -206,6 +211,9 @@
   // Entries that became silent or gone, with the time to forget them.
   std::deque<std::pair<time_point, endpoint>> fading_;
   time_point called_;  // last
+  // For how long calls came late. It does not count for a hub's silence: run
+  // time is the time less this.
+  duration held_up_{0};
   document_set set_;
   std::optional<time_point> confirmed_;
   std::unique_ptr<set_fetcher> fetcher_;
--- a/src/roster/roster_hub.cc
+++ b/src/roster/roster_hub.cc
@@ -14,6 +14,7 @@
 using std::chrono::milliseconds;
 
 constexpr duration kShortestInterval = milliseconds(250);
+constexpr duration kLongestInterval = std::chrono::seconds(60);
 constexpr std::size_t kNodesAtShortestInterval = 500;
 constexpr duration kIntervalPerNode = std::chrono::microseconds(500);
 constexpr duration kPushDelayPerNode = std::chrono::microseconds(50);
@@ -53,7 +54,7 @@
       started_(now),
       called_(now),
       tick_(now),
-      grace_(now),
+
       interval_(kShortestInterval),
       held_interval_(kShortestInterval) {
   assert(instance != 0);
@@ -66,6 +67,10 @@
                                          : duration(0));
 }
 
+duration roster_hub::memory() const {
+  return std::max(settings_.memory, 2 * silence());
+}
+
 duration roster_hub::load_interval() const {
   return std::max(settings_.load_interval,
                   kLoadIntervalPerNode * static_cast<std::int64_t>(alive_));
@@ -76,7 +81,7 @@
   if (late > silence()) {
     StartOver(now);
   } else if (late > kLate) {
-    grace_ = now + silence();
+    held_up_ += late;
   }
   called_ = now;
 }
@@ -88,6 +93,7 @@
       1U;
   started_ = now;
   position_ = 0;
+  forgotten_ = 0;
   alive_ = 0;
   push_at_.reset();
   heard_.clear();
@@ -100,8 +106,8 @@
 void roster_hub::AdjustInterval(time_point now) {
   interval_ = kShortestInterval;
   if (alive_ > kNodesAtShortestInterval) {
-    interval_ = std::max(interval_,
-                         kIntervalPerNode * static_cast<std::int64_t>(alive_));
+    interval_ = std::clamp(kIntervalPerNode * static_cast<std::int64_t>(alive_),
+                           kShortestInterval, kLongestInterval);
   }
   if (interval_ >= held_interval_) {
     held_interval_ = interval_;
@@ -112,19 +118,18 @@
 }
 
 void roster_hub::Expire(time_point now) {
-  while (!heard_.empty() && now >= grace_ &&
-         heard_.front()->heard + silence() <= now) {
+  while (!heard_.empty() && heard_.front()->heard_run + silence() <= Run(now)) {
     peer* node = heard_.front();
     lost_.splice(lost_.end(), heard_, node->place);
     node->is_lost = true;
     if (node->entry->liveness == node_liveness::kAlive)
       SetLiveness(node, node_liveness::kSilent, now);
   }
-  while (!lost_.empty() &&
-         lost_.front()->heard + silence() + settings_.memory <= now) {
+  while (!lost_.empty() && lost_.front()->heard + silence() + memory() <= now) {
     peer* node = lost_.front();
     lost_.pop_front();
     by_position_.erase(node->position);
+    forgotten_ = std::max(forgotten_, node->position);
     const endpoint where = node->entry->record.where;
     peers_.erase(where);
     entries_.erase(where);
@@ -168,7 +173,7 @@
   if (stamp == 0 || stamp > clock) return false;
   // How old the announcement is at most.
   const auto passed = duration(static_cast<std::int64_t>(clock - stamp));
-  return passed - age <= silence();
+  return passed - age <= settings_.silence;
 }
 
 void roster_hub::OnAnnounce(const endpoint& from, std::string_view bytes,
@@ -230,6 +235,7 @@
   peer* node = &peers_[record.where];
   node->entry = &entry;
   node->heard = now;
+  node->heard_run = Run(now);
   node->place = heard_.insert(heard_.end(), node);
   if (!record.leaving) {
     ++alive_;
@@ -268,6 +274,7 @@
 // Puts off small changes, and tells those put off earlier.
 void roster_hub::MarkHeard(peer* node, time_point now) {
   node->heard = now;
+  node->heard_run = Run(now);
   std::list<peer*>& list = node->is_lost ? lost_ : heard_;
   heard_.splice(heard_.end(), list, node->place);
   node->is_lost = false;
@@ -314,7 +321,7 @@
   chunk_cache cache;
   for (auto each = heard_.rbegin(); each != heard_.rend(); ++each) {
     const peer& node = **each;
-    if (node.heard + silence() <= now) break;
+    if (node.heard_run + silence() <= Run(now)) break;
     SendUpdate(node.entry->record.where, node.known, node.number,
                now - node.heard, 0, kPushDatagrams, now, &cache, out);
   }
@@ -355,6 +362,7 @@
   update.echo_age = echo_age;
   update.stamp = static_cast<std::uint64_t>(now.time_since_epoch().count());
   update.newest = position_;
+  update.forgotten = forgotten_;
   update.announce_interval = interval_;
   update.settled =
       now - started_ >= settings_.settling + (silence() - settings_.silence);
--- a/src/roster/roster_member.cc
+++ b/src/roster/roster_member.cc
@@ -28,6 +28,7 @@
 constexpr int kSilenceIntervals = 6;
 // A call that comes later than due by more than this was held up.
 constexpr duration kLate = milliseconds(100);
+constexpr std::uint64_t kRaiseSpan = 1000000;  // microseconds
 constexpr duration kSameCold = milliseconds(100);
 
 duration Apart(duration left, duration right) {
@@ -49,7 +50,7 @@
       called_(now),
       fetcher_(std::make_unique<set_fetcher>()) {
   assert(own.where.port != 0);
-  assert(own.generation != 0 && own.generation < kMaxGeneration);
+  assert(own.generation != 0 && own.generation < kMaxGeneration / 2);
   assert(own.zone.size() <= kMaxNodeName);
   assert(own.service.size() <= kMaxNodeName);
   if (own_.sequence == 0) own_.sequence = 1;
@@ -83,7 +84,7 @@
   // No number of an earlier start at the same endpoint comes again.
   link.first_number = own_.generation + 1;
   link.number = own_.generation;
-  link.lost = now;
+
   link.next = now;
 }
 
@@ -107,6 +108,7 @@
   SetWhole(link, false);
   link->instance = 0;
   link->position = 0;
+  link->base = 0;
   link->stamp = 0;
   link->settled = false;
   link->set_version = 0;
@@ -130,7 +132,7 @@
   if (((whole_ & bit) != 0) == whole && (settled_ & bit) == settled) return;
   whole_ = (whole_ & ~bit) | (whole ? bit : 0);
   settled_ = (settled_ & ~bit) | settled;
-  was_whole_ |= settled != 0;
+
   reconsider_ = true;
 }
 
@@ -138,6 +140,13 @@
   return std::max(settings_.hub_silence, kSilenceIntervals * link.interval);
 }
 
+duration roster_member::Memory() const {
+  duration longest = settings_.memory;
+  for (const auto& [where, link] : links_)
+    longest = std::max(longest, 2 * Silence(link));
+  return longest;
+}
+
 // Up to a tenth shorter than the interval, by the hash of both ends.
 duration roster_member::Pause(const hub_link& link) const {
   const auto hash =
@@ -231,9 +240,11 @@
 
 void roster_member::RaiseGeneration(std::uint64_t held, time_point now,
                                     actions* out) {
-  if (held <= own_.generation || held + 1 >= kMaxGeneration) return;
-  // Only a process that lives can hear this: its start is the newer one.
-  own_.generation = held + 1;
+  if (held <= own_.generation || held >= kMaxGeneration - kRaiseSpan) return;
+  // Only a process that lives can hear this: its start is the newer one. By
+  // how much it is raised differs between starts, so that no two get the same.
+  own_.generation =
+      held + 1 + HashPair(own_.generation, own_.sequence) % kRaiseSpan;
   own_.cold_remaining =
       std::max(own_.cold_remaining - (now - own_made_), duration(0));
   own_made_ = now;
@@ -244,20 +255,15 @@
   }
 }
 
-void roster_member::Notice(time_point now, actions* out) {
-  const bool held_up = now - std::max(called_, next_wake()) > kLate;
+void roster_member::Notice(time_point now) {
+  const duration late = now - std::max(called_, next_wake());
+  if (late > kLate) held_up_ += late;
   called_ = now;
-  if (!held_up) return;
-  // What hubs sent meanwhile was not read: they are asked before one is lost.
-  for (auto& [where, link] : links_) {
-    link.grace = now + Silence(link);
-    Announce(&link, now, out);
-  }
 }
 
 roster_member::actions roster_member::OnTick(time_point now) {
   actions out;
-  Notice(now, &out);
+  Notice(now);
   CheckLinks(now, &out);
   AnnounceDue(now, &out);
   ForgetOld(now, &out);
@@ -278,10 +284,8 @@
 void roster_member::CheckLinks(time_point now, actions* out) {
   bool changed = false;
   for (auto& [where, link] : links_) {
-    if (link.answers && link.heard + Silence(link) <= now &&
-        link.grace <= now) {
+    if (link.answers && link.heard_run + Silence(link) <= Run(now)) {
       link.answers = false;
-      link.lost = now;
       SetWhole(&link, false);
       changed = true;
       node_record record;
@@ -289,8 +293,7 @@
       Report(event_id::kHubLost, record, "", out);
     }
     // Its last word is forgotten as entries are.
-    if (!link.answers && link.instance != 0 &&
-        link.lost + settings_.memory <= now)
+    if (!link.answers && link.instance != 0 && link.heard + Memory() <= now)
       ForgetClaims(&link, now, out);
   }
   if (changed) Fetch(now, out);
@@ -300,7 +303,7 @@
                                                 std::string_view bytes,
                                                 time_point now) {
   actions out;
-  Notice(now, &out);
+  Notice(now);
   const std::optional<roster_kind> kind = KindOf(bytes);
   if (kind == roster_kind::kUpdate) {
     const std::optional<roster_update> update = DecodeUpdate(bytes, nullptr);
@@ -328,12 +331,19 @@
   // The hub sent this no earlier than `sent`.
   const time_point sent = std::min(
       link->sent[update.echo % hub_link::kKept] + update.echo_age, now);
-  if (sent + Silence(*link) <= now) return;
+  if (sent + settings_.hub_silence <= now) return;
   if (update.instance != link->instance) {
     if (link->instance != 0 && update.echo <= link->echoed) return;
     if (link->instance != 0) ForgetClaims(link, now, out);
     link->instance = update.instance;
   }
+  if (link->position != 0 &&
+      std::max(link->position, link->base) < update.forgotten) {
+    // What it has forgotten since, we still have as it was.
+    ForgetClaims(link, now, out);
+    link->instance = update.instance;
+  }
+  if (link->position == 0) link->base = update.newest;
   if (update.stamp >= link->stamp) {
     link->stamp = update.stamp;
     link->stamped = now;
@@ -343,6 +353,7 @@
   }
   link->echoed = std::max(link->echoed, update.echo);
   link->heard = std::max(link->heard, sent);
+  link->heard_run = std::max(link->heard_run, Run(sent));
   link->unanswered = 0;
   link->settled |= update.settled;
   if (!update.unproven && update.echo >= link->awaited) link->repeats = 0;
@@ -365,6 +376,7 @@
   }
   if (link->position >= update.newest) {
     SetWhole(link, true);
+    if (link->settled) settled_heard_ = link->heard;
   } else if (!update.unproven) {
     link->next =
         std::min(link->next, std::max(now, link->last_sent) + kAnswerPause);
@@ -417,15 +429,7 @@
   }
   bool changed = is_new;
   if (is_new) {
-    entry.record = record;
-    entry.learned = now;
-    entry.liveness =
-        record.leaving ? node_liveness::kGone : node_liveness::kAlive;
-    if (record.leaving) {
-      fading_.emplace_back(now + settings_.memory, record.where);
-    } else {
-      Report(event_id::kNodeJoined, record, "", out);
-    }
+    StartEntry(&entry, told, now, out);
   } else if (record.generation > entry.record.generation) {
     if (entry.liveness != node_liveness::kGone) {
       entry.liveness = node_liveness::kGone;
@@ -434,15 +438,7 @@
       out->push_back(roster_changed{entry});
     }
     said = claims();
-    entry.record = record;
-    entry.learned = now;
-    entry.liveness =
-        record.leaving ? node_liveness::kGone : node_liveness::kAlive;
-    if (record.leaving) {
-      fading_.emplace_back(now + settings_.memory, record.where);
-    } else {
-      Report(event_id::kNodeJoined, record, "", out);
-    }
+    StartEntry(&entry, told, now, out);
     changed = true;
   } else if (record.sequence > entry.record.sequence) {
     const bool leaving = record.leaving || entry.record.leaving;
@@ -465,6 +461,16 @@
     controls_changed_ = true;
 }
 
+void roster_member::StartEntry(roster_entry* entry, const told_entry& told,
+                               time_point now, actions* out) {
+  entry->record = told.record;
+  entry->learned = now;
+  entry->liveness = told.record.leaving ? node_liveness::kGone : told.liveness;
+  if (!told.record.leaving) Report(event_id::kNodeJoined, told.record, "", out);
+  if (entry->liveness != node_liveness::kAlive)
+    fading_.emplace_back(now + Memory(), told.record.where);
+}
+
 node_liveness roster_member::Judge(const roster_entry& entry,
                                    const claims& said) const {
   if (entry.record.leaving) return node_liveness::kGone;
@@ -485,7 +491,7 @@
     if (was_silent)
       Report(event_id::kNodeChanged, entry->record, "heard again", out);
   } else {
-    fading_.emplace_back(now + settings_.memory, entry->record.where);
+    fading_.emplace_back(now + Memory(), entry->record.where);
     Report(liveness == node_liveness::kSilent ? event_id::kNodeSilent
                                               : event_id::kNodeGone,
            entry->record, "", out);
@@ -510,8 +516,8 @@
     if (found == entries_.end()) continue;
     roster_entry& entry = found->second;
     if (entry.liveness == node_liveness::kAlive) continue;
-    if (entry.learned + settings_.memory > now) {
-      fading_.emplace_back(now + settings_.memory, where);
+    if (entry.learned + Memory() > now) {
+      fading_.emplace_back(now + Memory(), where);
       continue;
     }
     const auto dispute = disputes_.find(where);
@@ -606,7 +612,7 @@
 }
 
 bool roster_member::IsInTouch(time_point now) const {
-  if (!was_whole_) return false;
+  if (!settled_heard_ || *settled_heard_ + Memory() <= now) return false;
   return std::any_of(links_.begin(), links_.end(), [&](const auto& each) {
     const hub_link& link = each.second;
     return link.is_whole && link.heard + Silence(link) > now;
--- a/src/roster/roster_messages.cc
+++ b/src/roster/roster_messages.cc
@@ -205,7 +205,7 @@
 
 std::string Encode(const roster_update& message) {
   wire_writer writer;
-  writer.Array(18);
+  writer.Array(19);
   writer.Number(message.instance);
   writer.Number(message.echo);
   WriteSpan(&writer, message.echo_age);
@@ -213,6 +213,7 @@
   writer.Number(message.from);
   writer.Number(message.to);
   writer.Number(message.newest);
+  writer.Number(message.forgotten);
   WriteSpan(&writer, message.announce_interval);
   writer.Flag(message.settled);
   writer.Flag(message.unproven);
@@ -243,6 +244,7 @@
   message.from = reader.Number();
   message.to = reader.Number();
   message.newest = reader.Number();
+  message.forgotten = reader.Number();
   message.announce_interval = ReadSpan(&reader);
   message.settled = reader.Flag();
   message.unproven = reader.Flag();
@@ -258,7 +260,7 @@
   message.entries = reader.Text();
   reader.Leave();
   if (!reader.ok() || message.instance == 0 || message.from > message.to ||
-      message.to > message.newest)
+      message.to > message.newest || message.forgotten > message.newest)
     return Malformed("update", last_failure);
   return message;
 }
@@ -327,6 +329,8 @@
     entry.liveness = static_cast<node_liveness>(
         reader.NumberUpTo(static_cast<std::uint64_t>(node_liveness::kGone)));
     reader.Leave();
+    if ((entry.liveness == node_liveness::kGone) != entry.record.leaving)
+      return Malformed("entry", last_failure);
     entries.push_back(std::move(entry));
   }
   reader.Leave();
--- a/src/roster/roster_messages.h
+++ b/src/roster/roster_messages.h
@@ -76,6 +76,7 @@
   std::uint64_t from = 0;
   std::uint64_t to = 0;
   std::uint64_t newest = 0;       // position at the hub
+  std::uint64_t forgotten = 0;    // up to here, entries may be forgotten
   duration announce_interval{0};  // that the hub asks for
   bool settled = false;   // the hub runs long enough to have heard all nodes
   bool unproven = false;  // the announcement may be old: send another
--- /dev/null
+++ b/tests/roster/roster_messages_test.cc
@@ -0,0 +1,315 @@
+// Tests of the roster's messages: what is written is read again, and no bytes
+// do more than be refused.
+#include "roster/roster_messages.h"
+
+#include <string>
+#include <vector>
+
+#include "roster/set_fetcher.h"
+#include "support/property.h"
+#include "tamaracklatch/core/hash.h"
+#include "tamaracklatch/roster/roster_hub.h"
+#include "tamaracklatch/roster/roster_member.h"
+
+namespace tamaracklatch {
+namespace {
+
+node_record Record(std::uint32_t index, std::uint64_t generation) {
+  node_record record;
+  record.where = {MakeV4(0x0a000000 + index), 7000};
+  record.generation = generation;
+  record.sequence = 7;
+  record.zone = "zone-a";
+  record.operators = {MakeV4(0x0a000000 + index), 80};
+  record.service = "desk";
+  record.condition = target_condition::kReady;
+  record.slots = 4;
+  record.load = 300;
+  record.cold_remaining = std::chrono::milliseconds(1500);
+  record.target_start = 1234567;
+  return record;
+}
+
+bool IsSame(const node_record& left, const node_record& right) {
+  return left.IsSameStart(right) && left.sequence == right.sequence &&
+         left.role == right.role && left.zone == right.zone &&
+         left.leaving == right.leaving && left.operators == right.operators &&
+         left.service == right.service && left.condition == right.condition &&
+         left.slots == right.slots && left.load == right.load &&
+         left.cold_remaining == right.cold_remaining &&
+         left.target_start == right.target_start;
+}
+
+Test(roster_messages, reads_what_was_written) {
+  test::CheckProperty(
+      "messages survive", [](std::uint64_t first, std::uint64_t second,
+                             std::uint32_t third, bool flag) {
+        roster_announce announce;
+        announce.number = first;
+        announce.instance = second;
+        announce.stamp = first ^ second;
+        announce.stamp_age = duration(third);
+        announce.position = third;
+        announce.record = Record(third, first % kMaxGeneration + 1);
+        announce.record.leaving = flag;
+        announce.disputes.push_back({Record(third, 1).where, third});
+        const auto read_announce = DecodeAnnounce(Encode(announce), nullptr);
+        RC_ASSERT(read_announce.has_value());
+        RC_ASSERT(read_announce->number == first);
+        RC_ASSERT(read_announce->stamp_age == duration(third));
+        RC_ASSERT(IsSame(read_announce->record, announce.record));
+        RC_ASSERT(read_announce->disputes[0].generation == third);
+
+        entry_writer writer;
+        const node_liveness liveness =
+            flag ? node_liveness::kGone : node_liveness::kSilent;
+        RC_ASSERT(writer.Add(announce.record, liveness, duration(third)));
+        roster_update update;
+        update.instance = second | 1U;
+        update.echo = first;
+        update.from = third;
+        update.to = std::uint64_t{third} + 1;
+        update.newest = update.to;
+        update.settled = flag;
+        update.documents = {first, third % kMaxSetBytes, second};
+        if (flag) update.confirmed = set_confirmation{second, duration(third)};
+        update.entries = writer.Take();
+        const auto read_update = DecodeUpdate(Encode(update), nullptr);
+        RC_ASSERT(read_update.has_value());
+        RC_ASSERT(read_update->documents == update.documents);
+        RC_ASSERT(read_update->confirmed.has_value() == flag);
+        const auto entries = DecodeEntries(read_update->entries, nullptr);
+        RC_ASSERT(entries.has_value() && entries->size() == 1U);
+        RC_ASSERT((*entries)[0].liveness == liveness);
+        RC_ASSERT((*entries)[0].record.cold_remaining == duration(third));
+      });
+}
+
+Test(roster_messages, an_update_with_the_largest_numbers_fits_a_datagram) {
+  entry_writer writer;
+  node_record record = Record(1, kMaxGeneration);
+  record.where.address.bytes.fill(0xfd);
+  record.operators = record.where;
+  record.zone.assign(kMaxNodeName, 'z');
+  record.service.assign(kMaxNodeName, 's');
+  record.sequence = record.target_start = UINT64_MAX;
+  std::size_t count = 0;
+  while (writer.Add(record, node_liveness::kAlive, duration(0))) ++count;
+  cr_expect(count >= 2, "%zu entries", count);
+  roster_update update;
+  update.instance = update.echo = update.stamp = UINT64_MAX;
+  update.from = update.to = update.newest = update.forgotten = UINT64_MAX;
+  update.echo_age = update.announce_interval = std::chrono::hours(24);
+  update.superseded = kMaxGeneration;
+  update.documents = {UINT64_MAX, kMaxSetBytes, UINT64_MAX};
+  update.confirmed = set_confirmation{UINT64_MAX, std::chrono::hours(24)};
+  update.entries = writer.Take();
+  const std::string bytes = Encode(update);
+  cr_expect(bytes.size() <= kMaxRosterDatagram, "%zu bytes", bytes.size());
+  cr_expect(DecodeUpdate(bytes, nullptr).has_value());
+}
+
+Test(roster_messages, the_first_byte_tells_the_receiver) {
+  struct row {
+    std::string bytes;
+    bool is_roster;
+    bool is_for_hub;
+  };
+  const std::vector<row> rows = {
+      {"", false, false},
+      {Encode(set_fetch()), true, true},
+      {Encode(set_part()), true, false},
+      {Encode(roster_announce()), true, true},
+      {Encode(roster_update()), true, false},
+      {"\x9f", false, false},
+      {"\xb0", false, false},
+  };
+  for (const row& each : rows) {
+    cr_expect(IsRosterMessage(each.bytes) == each.is_roster);
+    cr_expect(IsForHub(each.bytes) == each.is_for_hub);
+  }
+}
+
+Test(roster_messages, what_does_not_hold_is_refused) {
+  const auto refused = [](const roster_announce& message) {
+    failure why;
+    return !DecodeAnnounce(Encode(message), &why) &&
+           why.code == result_code::kRosterMessageMalformed;
+  };
+  roster_announce announce;
+  announce.record = Record(1, 1);
+  cr_expect(!refused(announce));
+  roster_announce wrong = announce;
+  wrong.record.generation = 0;
+  cr_expect(refused(wrong));
+  wrong = announce;
+  wrong.record.generation = kMaxGeneration + 1;
+  cr_expect(refused(wrong));
+  wrong = announce;
+  wrong.record.where.port = 0;
+  cr_expect(refused(wrong));
+  wrong = announce;
+  wrong.record.zone.assign(kMaxNodeName + 1, 'z');
+  cr_expect(refused(wrong));
+  wrong = announce;
+  wrong.disputes.resize(kMaxDisputes + 1);
+  cr_expect(refused(wrong));
+
+  roster_update update;
+  update.instance = 1;
+  cr_expect(DecodeUpdate(Encode(update), nullptr).has_value());
+  update.to = 1;  // past the newest
+  cr_expect(!DecodeUpdate(Encode(update), nullptr));
+  update.newest = 2;
+  update.from = 2;  // past `to`
+  cr_expect(!DecodeUpdate(Encode(update), nullptr));
+
+  set_part part;
+  part.size = 3;
+  part.bytes = "abcd";
+  cr_expect(!DecodePart(Encode(part), nullptr));
+
+  entry_writer writer;
+  writer.Add(Record(1, 1), node_liveness::kGone, duration(0));
+  cr_expect(!DecodeEntries(writer.Take(), nullptr), "gone without leaving");
+}
+
+// Bytes behind a kind that exists, and messages with one byte changed.
+Test(roster_messages, arbitrary_bytes_change_nothing) {
+  const time_point start(std::chrono::hours(1));
+  test::CheckProperty("arbitrary bytes", [&](const std::string& bytes,
+                                             std::uint8_t changed,
+                                             std::uint8_t value) {
+    roster_member_settings settings;
+    const endpoint control = Record(9, 1).where;
+    settings.seeds = {control};
+    settings.wants_set = true;
+    roster_member member(settings, Record(1, 1), start);
+    roster_hub hub(roster_hub_settings(), 5, start);
+    const auto feed = [&](const std::string& each) {
+      hub.OnMessage(control, each, start);
+      member.OnMessage(control, each, start);
+      DecodeEntries(each, nullptr);
+    };
+    for (const roster_kind kind : {roster_kind::kAnnounce, roster_kind::kFetch,
+                                   roster_kind::kUpdate, roster_kind::kPart})
+      feed(std::string(1, static_cast<char>(kind)) + bytes);
+    feed(bytes);
+    RC_ASSERT(hub.entries().empty());
+    RC_ASSERT(member.entries().empty());
+
+    roster_announce announce;
+    announce.record = Record(2, 5);
+    entry_writer writer;
+    writer.Add(announce.record, node_liveness::kAlive, duration(0));
+    roster_update update;
+    update.instance = 5;
+    update.echo = 2;
+    update.to = update.newest = 1;
+    update.entries = writer.Take();
+    member.OnTick(start);
+    for (std::string each : {Encode(announce), Encode(update)}) {
+      each[changed % each.size()] = static_cast<char>(value);
+      feed(each);
+      feed(each.substr(0, value % each.size()));
+    }
+  });
+}
+
+// A hub that answers fetches, as set_fetcher sees it.
+class set_holder {
+ public:
+  explicit set_holder(std::size_t size) {
+    for (std::size_t i = 0; i < size; ++i)
+      bytes.push_back(static_cast<char>(HashPair(size, i)));
+    head = {4, size, HashBytes(bytes.data(), size)};
+  }
+  set_part PartFor(const roster_send& sent) const {
+    const auto fetch = DecodeFetch(sent.bytes, nullptr);
+    cr_assert(fetch && fetch->version == head.version);
+    return {head.version, bytes.size(), fetch->offset,
+            bytes.substr(fetch->offset, kMaxSetPart)};
+  }
+  std::string bytes;
+  set_head head;
+};
+
+Test(set_fetcher, fetches_sets_of_every_size_despite_loss) {
+  const endpoint first = Record(1, 1).where;
+  const endpoint second = Record(2, 1).where;
+  const endpoint dead = Record(3, 1).where;
+  for (const std::size_t size :
+       {std::size_t{1}, kMaxSetPart, kMaxSetPart + 1, kMaxSetBytes}) {
+    const set_holder holder(size);
+    set_fetcher fetcher;
+    time_point now(std::chrono::hours(1));
+    std::vector<roster_send> flying = fetcher.SetSources(
+        {{dead, holder.head}, {first, holder.head}, {second, holder.head}}, 3,
+        now);
+    std::optional<std::string> complete;
+    std::uint64_t step = 0;
+    while (!complete) {
+      cr_assert(flying.size() <= 2 * 16, "%zu parts at once", flying.size());
+      cr_assert(now < time_point(std::chrono::hours(2)));
+      std::vector<roster_send> next;
+      for (const roster_send& sent : flying) {
+        if (sent.to == dead || HashPair(++step, size) % 5 == 0) continue;
+        for (roster_send& more :
+             fetcher.OnPart(holder.PartFor(sent), now, &complete))
+          next.push_back(std::move(more));
+      }
+      if (next.empty() && !complete) {
+        now = fetcher.next_wake();
+        next = fetcher.OnTick(now);
+      }
+      flying = std::move(next);
+    }
+    cr_expect(*complete == holder.bytes, "a set of %zu bytes", size);
+  }
+}
+
+Test(set_fetcher, a_set_with_another_hash_is_not_used) {
+  const endpoint hub = Record(1, 1).where;
+  set_holder holder(3000);
+  set_holder other = holder;
+  other.bytes[1500] ^= 1;
+  set_fetcher fetcher;
+  const time_point now(std::chrono::hours(1));
+  std::optional<std::string> complete;
+  const auto asked = fetcher.SetSources({{hub, holder.head}}, 0, now);
+  cr_expect(asked.size() == 3);
+  for (const roster_send& sent : asked)
+    fetcher.OnPart(other.PartFor(sent), now, &complete);
+  cr_expect(!complete);
+  // Asked for again, after a pause.
+  cr_expect(fetcher.next_wake() > now);
+  const auto again = fetcher.OnTick(fetcher.next_wake());
+  cr_expect(again.size() == 3);
+  for (const roster_send& sent : again)
+    fetcher.OnPart(holder.PartFor(sent), now, &complete);
+  cr_expect(complete == holder.bytes);
+}
+
+Test(set_fetcher, a_higher_set_replaces_the_one_being_fetched) {
+  const endpoint hub = Record(1, 1).where;
+  set_holder low(5000);
+  set_holder high(4000);
+  high.head.version = 5;
+  set_fetcher fetcher;
+  const time_point now(std::chrono::hours(1));
+  std::optional<std::string> complete;
+  const auto asked = fetcher.SetSources({{hub, low.head}}, 0, now);
+  const auto newer = fetcher.SetSources({{hub, high.head}}, 0, now);
+  cr_expect(fetcher.head() == high.head);
+  for (const roster_send& sent : asked)
+    fetcher.OnPart(low.PartFor(sent), now, &complete);
+  cr_expect(!complete);
+  for (const roster_send& sent : newer)
+    fetcher.OnPart(high.PartFor(sent), now, &complete);
+  cr_expect(complete == high.bytes);
+  cr_expect(fetcher.SetSources({{hub, high.head}}, 5, now).empty());
+  cr_expect(fetcher.next_wake() == time_point::max());
+}
+
+}  // namespace
+}  // namespace tamaracklatch
