--- a/src/roster/roster_messages.h
+++ b/src/roster/roster_messages.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "tamaracklatch/control/document_set.h"
 #include "tamaracklatch/core/result_code.h"
 #include "tamaracklatch/roster/node_record.h"
 
@@ -26,7 +27,7 @@
 inline constexpr std::size_t kMaxRosterDatagram = 1200;  // bytes
 inline constexpr std::size_t kMaxEntryBytes = 1050;      // in one update
 inline constexpr std::size_t kMaxSetPart = 1100;         // bytes
-inline constexpr std::size_t kMaxSetBytes = 512 * 1024;
+inline constexpr std::size_t kMaxSetBytes = kMaxEncodedSetBytes;
 inline constexpr std::size_t kMaxNodeName = 128;  // of a zone or service, bytes
 inline constexpr std::size_t kMaxDisputes = 8;    // in one announcement
 inline constexpr std::uint64_t kMaxGeneration = std::uint64_t{1} << 62U;
--- a/tests/roster/roster_world.cc
+++ b/tests/roster/roster_world.cc
@@ -201,7 +201,7 @@
 void roster_world::RandomFault() {
   const std::size_t place = Draw(places_.size());
   process* one = places_[place];
-  switch (Draw(12)) {
+  switch (Draw(13)) {
     case 0:
       Cut(place, Draw(places_.size()), true);
       break;
@@ -247,6 +247,16 @@
         SetRecord(place, static_cast<target_condition>(Draw(3)),
                   static_cast<std::uint32_t>(Draw(1000)));
       break;
+    case 11:
+      if (Happens(0.2)) {
+        // Power is back at all control VMs at once.
+        for (std::size_t i = 0; i < settings_.controls; ++i) {
+          Kill(i);
+          Start(i, "", duration(0));
+        }
+        break;
+      }
+      [[fallthrough]];
     default:
       Publish(Happens(0.2) ? 500 : Draw(10));
       break;
--- a/tests/roster/schedule_test.cc
+++ b/tests/roster/schedule_test.cc
@@ -11,7 +11,7 @@
 namespace tamaracklatch::test {
 namespace {
 
-constexpr std::uint64_t kSchedules = 120;
+constexpr std::uint64_t kSchedules = 400;
 constexpr std::uint64_t kParts = 4;  // run side by side
 constexpr duration kFaults = std::chrono::seconds(40);
 // A hub settles, the slowest announcements to hubs that were silent, a node's
