--- a/src/roster/roster_messages.h
+++ b/src/roster/roster_messages.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "tamaracklatch/control/document_set.h"
 #include "tamaracklatch/core/result_code.h"
 #include "tamaracklatch/roster/node_record.h"
 
@@ -26,7 +27,7 @@
 inline constexpr std::size_t kMaxRosterDatagram = 1200;  // bytes
 inline constexpr std::size_t kMaxEntryBytes = 1050;      // in one update
 inline constexpr std::size_t kMaxSetPart = 1100;         // bytes
-inline constexpr std::size_t kMaxSetBytes = 512 * 1024;
+inline constexpr std::size_t kMaxSetBytes = kMaxEncodedSetBytes;
 inline constexpr std::size_t kMaxNodeName = 128;  // of a zone or service, bytes
 inline constexpr std::size_t kMaxDisputes = 8;    // in one announcement
 inline constexpr std::uint64_t kMaxGeneration = std::uint64_t{1} << 62U;
@@ -76,6 +77,7 @@
   std::uint64_t from = 0;
   std::uint64_t to = 0;
   std::uint64_t newest = 0;       // position at the hub
+  std::uint64_t forgotten = 0;    // up to here, entries may be forgotten
   duration announce_interval{0};  // that the hub asks for
   bool settled = false;   // the hub runs long enough to have heard all nodes
   bool unproven = false;  // the announcement may be old: send another
