--- a/src/daemon/event_log.cc
+++ b/src/daemon/event_log.cc
@@ -114,13 +114,21 @@
 
 void event_log::OnEvent(const event& what) {
   counts_->Count("tamaracklatch_events_total", "Events by name.", 1.0,
-                 std::string(ToString(what.id)));
+                 ToString(what.id));
+  if (what.code != result_code::kOk) {
+    counts_->CountCode("tamaracklatch_event_codes_total",
+                       "Events that name a result code, by code.", what.code);
+  }
   const log_level level =
       what.code == result_code::kOk ? log_level::kInfo : log_level::kWarning;
   if (level >= settings_.level) {
     const log_time when = now_();
-    if (budget_.Take(what.id, when.steady) && !Write(what, when))
+    if (!budget_.Take(what.id, when.steady)) {
+      CountDropped(what.id);
+    } else if (!Write(what, when)) {
       budget_.CountDropped(what.id);
+      CountDropped(what.id);
+    }
     if (!awake_ && wake_) {
       awake_ = true;
       wake_();
@@ -129,6 +137,11 @@
   if (next_ != nullptr) next_->OnEvent(what);
 }
 
+void event_log::CountDropped(event_id kind) {
+  counts_->Count("tamaracklatch_log_lines_dropped_total",
+                 "Lines that the log left out, by event.", 1.0, ToString(kind));
+}
+
 bool event_log::Write(const event& what, const log_time& when) {
   const log_level level =
       what.code == result_code::kOk ? log_level::kInfo : log_level::kWarning;
--- a/src/daemon/event_log.h
+++ b/src/daemon/event_log.h
@@ -53,6 +53,7 @@
  private:
   struct plumbing;
 
+  void CountDropped(event_id kind);
   bool Write(const event& what, const log_time& when);
   void SayDropped(const log_time& when);
 
--- a/src/daemon/log_output.cc
+++ b/src/daemon/log_output.cc
@@ -56,7 +56,8 @@
       written += static_cast<std::size_t>(taken);
     } else if (taken < 0 && errno != EINTR) {
       stuck_ = true;
-      gone_ = errno == EPIPE || errno == EBADF;
+      gone_ = errno == EPIPE || errno == EBADF || errno == ECONNRESET ||
+              errno == ENOTCONN;
     }
   }
   buffer_.erase(0, gone_ ? buffer_.size() : written);
--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -3,18 +3,61 @@
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <functional>
+#include <iterator>
 #include <map>
 
 namespace tamaracklatch {
+namespace {
+
+// A family and its members by label value. The pointers are the registry's;
+// they spare its lock and hashes at each use.
+template <typename Kind>
+struct known_family {
+  prometheus::Family<Kind>* family = nullptr;
+  std::map<std::string, Kind*, std::less<>> members;
+};
+
+template <typename Kind>
+using family_table = std::map<std::string, known_family<Kind>, std::less<>>;
+
+}  // namespace
 
 struct metrics::state {
+  // The member of the name and label; made where there is none.
+  template <typename Kind, typename Builder, typename... Arguments>
+  Kind& Member(family_table<Kind>* table, Builder builder,
+               std::string_view name, std::string_view help,
+               std::string_view label_name, std::string_view label,
+               const Arguments&... arguments) {
+    auto found = table->find(name);
+    if (found == table->end()) {
+      found = table->emplace(name, known_family<Kind>{}).first;
+      found->second.family = &builder.Name(std::string(name))
+                                  .Help(std::string(help))
+                                  .Labels(labels)
+                                  .Register(registry);
+    }
+    known_family<Kind>& family = found->second;
+    const auto member = family.members.find(label);
+    if (member != family.members.end()) return *member->second;
+    prometheus::Labels own;
+    if (!label.empty())
+      own.emplace(std::string(label_name), std::string(label));
+    Kind& made = family.family->Add(own, arguments...);
+    family.members.emplace(label, &made);
+    return made;
+  }
+
   prometheus::Registry registry;
   prometheus::Labels labels;
-  std::map<std::string, prometheus::Family<prometheus::Counter>*> counters;
-  std::map<std::string, prometheus::Family<prometheus::Gauge>*> gauges;
+  family_table<prometheus::Counter> counters;
+  family_table<prometheus::Gauge> gauges;
+  family_table<prometheus::Histogram> histograms;
 };
 
 metrics::metrics(const std::string& process, const std::string& zone)
@@ -24,33 +67,43 @@
 
 metrics::~metrics() = default;
 
-void metrics::Count(const std::string& name, const std::string& help,
-                    double amount, const std::string& label) {
-  auto*& family = state_->counters[name];
-  if (family == nullptr) {
-    family = &prometheus::BuildCounter()
-                  .Name(name)
-                  .Help(help)
-                  .Labels(state_->labels)
-                  .Register(state_->registry);
-  }
-  family
-      ->Add(label.empty() ? prometheus::Labels{}
-                          : prometheus::Labels{{"kind", label}})
+void metrics::Count(std::string_view name, std::string_view help, double amount,
+                    std::string_view label) {
+  state_
+      ->Member(&state_->counters, prometheus::BuildCounter(), name, help,
+               "kind", label)
       .Increment(amount);
 }
 
-void metrics::Set(const std::string& name, const std::string& help,
-                  double value) {
-  auto*& family = state_->gauges[name];
-  if (family == nullptr) {
-    family = &prometheus::BuildGauge()
-                  .Name(name)
-                  .Help(help)
-                  .Labels(state_->labels)
-                  .Register(state_->registry);
-  }
-  family->Add({}).Set(value);
+void metrics::CountCode(std::string_view name, std::string_view help,
+                        result_code code) {
+  state_
+      ->Member(&state_->counters, prometheus::BuildCounter(), name, help,
+               "code", ToString(code))
+      .Increment();
+}
+
+void metrics::SetTotal(std::string_view name, std::string_view help,
+                       double total) {
+  prometheus::Counter& counter = state_->Member(
+      &state_->counters, prometheus::BuildCounter(), name, help, "", "");
+  const double more = total - counter.Value();
+  if (more > 0) counter.Increment(more);
+}
+
+void metrics::Set(std::string_view name, std::string_view help, double value) {
+  state_->Member(&state_->gauges, prometheus::BuildGauge(), name, help, "", "")
+      .Set(value);
+}
+
+void metrics::Observe(std::string_view name, std::string_view help,
+                      std::chrono::duration<double> span) {
+  state_
+      ->Member(&state_->histograms, prometheus::BuildHistogram(), name, help,
+               "", "",
+               prometheus::Histogram::BucketBoundaries(
+                   std::begin(kSecondsBuckets), std::end(kSecondsBuckets)))
+      .Observe(span.count());
 }
 
 std::string metrics::Text() const {
--- a/src/daemon/process_frame.cc
+++ b/src/daemon/process_frame.cc
@@ -2,9 +2,12 @@
 #include "daemon/process_frame.h"
 
 #include <sodium.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <csignal>
+#include <fstream>
 
 namespace tamaracklatch {
 namespace {
@@ -37,6 +40,12 @@
   return time_point(std::chrono::duration_cast<duration>(since_start));
 }
 
+double Seconds(const timeval& time) {
+  constexpr double kMicrosecond = 1e-6;
+  return static_cast<double>(time.tv_sec) +
+         static_cast<double>(time.tv_usec) * kMicrosecond;
+}
+
 event_log_settings LogSettings(const process_settings& settings) {
   event_log_settings log;
   log.source = {settings.name, settings.zone, ""};
@@ -54,19 +63,24 @@
 
 // Work that is done again and again.
 struct process_frame::ticker {
-  ticker(asio::io_context* loop, std::chrono::milliseconds every,
+  ticker(process_frame* of, std::chrono::milliseconds every,
          std::function<void()> what)
-      : timer(*loop), interval(every), work(std::move(what)) {}
+      : frame(of), timer(of->loop_), interval(every), work(std::move(what)) {}
 
   void Schedule() {
     timer.expires_after(interval);
     timer.async_wait([this](asio::error_code error) {
       if (error) return;
+      frame->counts_.Observe(
+          "tamaracklatch_timer_delay_seconds",
+          "How late timers of the event loop fire, in seconds.",
+          asio::steady_timer::clock_type::now() - timer.expiry());
       work();
       Schedule();
     });
   }
 
+  process_frame* frame;
   asio::steady_timer timer;
   std::chrono::milliseconds interval;
   std::function<void()> work;
@@ -100,8 +114,10 @@
                               failure* last_failure) {
   const auto serve = [this, handler = std::move(handler)](
                          const http_request& request, const http_reply& reply) {
-    if (request.path == "/metrics")
+    if (request.path == "/metrics") {
+      CountUsage();
       return reply({200, "text/plain; version=0.0.4", {}, counts_.Text()});
+    }
     if (handler) return handler(request, reply);
     reply({404, "text/plain", {}, "no such page\n"});
   };
@@ -126,6 +142,24 @@
   SayProcess(event_id::kProcessStopped, "");
 }
 
+// What the process uses, as the system says.
+void process_frame::CountUsage() {
+  rusage usage{};
+  if (getrusage(RUSAGE_SELF, &usage) == 0) {
+    counts_.SetTotal("process_cpu_seconds_total",
+                     "Processor time since the start.",
+                     Seconds(usage.ru_utime) + Seconds(usage.ru_stime));
+  }
+  std::ifstream memory("/proc/self/statm");
+  std::uint64_t size = 0;
+  std::uint64_t resident = 0;
+  if (memory >> size >> resident) {
+    counts_.Set("process_resident_memory_bytes", "Resident memory.",
+                static_cast<double>(resident) *
+                    static_cast<double>(sysconf(_SC_PAGESIZE)));
+  }
+}
+
 void process_frame::FlushLog() {
   if (log_->Flush()) return;
   log_timer_.expires_after(kLogRetry);
@@ -145,8 +179,7 @@
 
 void process_frame::Every(std::chrono::milliseconds interval,
                           std::function<void()> work) {
-  tickers_.push_back(
-      std::make_unique<ticker>(&loop_, interval, std::move(work)));
+  tickers_.push_back(std::make_unique<ticker>(this, interval, std::move(work)));
   tickers_.back()->Schedule();
 }
 
--- a/src/daemon/process_frame.h
+++ b/src/daemon/process_frame.h
@@ -65,6 +65,7 @@
  private:
   struct ticker;
 
+  void CountUsage();
   void FlushLog();
   void SayProcess(event_id id, const std::string& detail);
 
--- a/src/daemon/targetd.cc
+++ b/src/daemon/targetd.cc
@@ -289,12 +289,12 @@
     const flow_counters& counts = owner_->counters();
     frame_.counts().Set("tamaracklatch_flows", "Flows open now.",
                         static_cast<double>(owner_->flow_count()));
-    frame_.counts().Set("tamaracklatch_flows_opened",
-                        "Flows opened since the start.",
-                        static_cast<double>(counts.opened));
-    frame_.counts().Set("tamaracklatch_packets_delivered",
-                        "Packets handed to the target since the start.",
-                        static_cast<double>(counts.delivered));
+    frame_.counts().SetTotal("tamaracklatch_flows_opened_total",
+                             "Flows opened since the start.",
+                             static_cast<double>(counts.opened));
+    frame_.counts().SetTotal("tamaracklatch_packets_delivered_total",
+                             "Packets handed to the target since the start.",
+                             static_cast<double>(counts.delivered));
     const bool idle = !front_ || front_->idle();
     if (stopping_ && idle && owner_->flow_count() == 0) Finish();
   }
