--- a/bench/timeline_bench.cc
+++ b/bench/timeline_bench.cc
@@ -1,5 +1,6 @@
-// What one event of the time line costs the event loop, the writing thread and
-// the operator's merge, as slopes over the number of events.
+// What one event costs as a line of the log, and in the time line: the event
+// loop, the writing thread and the operator's merge, as slopes over the number
+// of events.
 #include <algorithm>
 #include <cstdlib>
 #include <sstream>
@@ -12,6 +13,7 @@
 #include "tamaracklatch/timeline/timeline_entry.h"
 #include "tamaracklatch/timeline/timeline_merge.h"
 #include "tamaracklatch/timeline/timeline_queue.h"
+#include "timeline/log_line.h"
 
 namespace tamaracklatch::bench {
 namespace {
@@ -61,6 +63,18 @@
   });
 }
 
+double LogSeconds(std::size_t count, std::size_t* bytes) {
+  log_line_writer writer({kSource.process, kSource.zone, "10.1.0.11:7720"});
+  event what = FlowEvent(1);
+  what.key = flow_key{MakeV4(0x0a090001), MakeV4(0x0a4d0001), 40112, 80,
+                      ip_protocol::kTcp};
+  *bytes = 0;
+  return SecondsOf([&] {
+    for (std::size_t i = 0; i < count; ++i)
+      *bytes += writer.Write(what, "info", {time_point{}, kStart}).size() + 1;
+  });
+}
+
 double MergeSeconds(const std::string& lines) {
   return SecondsOf([&] {
     std::istringstream stream(lines);
@@ -94,6 +108,8 @@
   std::vector<sample> format;
   std::vector<sample> bytes;
   std::vector<sample> merge;
+  std::vector<sample> log;
+  std::vector<sample> log_bytes;
   for (const std::size_t count : kSizes) {
     const auto size = static_cast<double>(count);
     const std::vector<timeline_entry> entries = Entries(count);
@@ -106,6 +122,9 @@
     format.push_back(
         {size, Smallest([&] { return FormatSeconds(entries, &line_bytes); })});
     bytes.push_back({size, static_cast<double>(line_bytes)});
+    log.push_back(
+        {size, Smallest([&] { return LogSeconds(count, &line_bytes); })});
+    log_bytes.push_back({size, static_cast<double>(line_bytes)});
     merge.push_back({size, Smallest([&] { return MergeSeconds(lines); })});
   }
   figures.Add(
@@ -118,8 +137,11 @@
   ratio("slope: record an event on the event loop", record);
   ratio("slope: format an event on the writing thread", format);
   ratio("slope: read and merge an event", merge);
+  ratio("slope: format a line of the log on the event loop", log);
   figures.Add({kSection, "slope: bytes of a flow event in the file",
                Slope(bytes), "bytes/event", ""});
+  figures.Add({kSection, "slope: bytes of a flow event in the log",
+               Slope(log_bytes), "bytes/event", ""});
   figures.Add({kSection, "bytes of an entry that waits, without long texts",
                static_cast<double>(sizeof(timeline_entry)), "bytes/event", ""});
 }
--- a/src/timeline/log_line.cc
+++ b/src/timeline/log_line.cc
@@ -66,17 +66,24 @@
   return byte < 0x20 || byte == '"' || byte == '\\';
 }
 
+void AppendName(std::string_view name, fmt::memory_buffer* line) {
+  Append(",\"", line);
+  Append(name, line);
+  Append("\":", line);
+}
+
 void AppendField(std::string_view name, std::string_view value,
                  fmt::memory_buffer* line) {
   if (value.empty()) return;
-  fmt::format_to(std::back_inserter(*line), ",\"{}\":", name);
+  AppendName(name, line);
   AppendJsonText(value, line);
 }
 
 void AppendNumber(std::string_view name, std::uint64_t value,
                   fmt::memory_buffer* line) {
-  if (value != 0)
-    fmt::format_to(std::back_inserter(*line), ",\"{}\":{}", name, value);
+  if (value == 0) return;
+  AppendName(name, line);
+  Append(fmt::format_int(value).c_str(), line);
 }
 
 struct value_writer {
