--- a/src/daemon/process_frame.h
+++ b/src/daemon/process_frame.h
@@ -69,6 +69,7 @@
   struct ticker;
 
   void WaitForReload();
+  void CountUsage();
   void FlushLog();
   void SayProcess(event_id id, const std::string& detail);
 
