--- a/src/daemon/steering_balancer.h
+++ b/src/daemon/steering_balancer.h
@@ -1,4 +1,4 @@
-// The balancer of flows whose answers leave the target's VM directly: takes
+// The balancer for flows whose answers leave the target's VM directly: takes
 // callers' segments and sends each to one target daemon. A packet format and
 // the calls of an installation come from an adapter.
 #pragma once
