--- a/src/steering/segment_owner.cc
+++ b/src/steering/segment_owner.cc
@@ -158,20 +158,22 @@
             actions);
     return;
   }
-  if (header.services[0] != service_) {
-    TellNotHere(steering_kind::kUnknown, header, actions);
-    PassOpening(header, what, result_code::kNotThisTarget, false, now, actions);
-    return;
-  }
   if (flow != nullptr) {
-    // The handshake goes on, unless the target takes no openings any more.
-    if (status_.condition == target_condition::kReady) {
-      Deliver(header, what, flow, now, actions);
-    } else {
+    // The handshake goes on here, unless the target takes no openings any more.
+    if (header.services[0] != service_) {
+      Discard(result_code::kNotThisTarget, actions);
+    } else if (status_.condition != target_condition::kReady) {
       Discard(result_code::kTargetDraining, actions);
+    } else {
+      Deliver(header, what, flow, now, actions);
     }
     return;
   }
+  if (header.services[0] != service_) {
+    TellNotHere(steering_kind::kUnknown, header, actions);
+    PassOpening(header, what, result_code::kNotThisTarget, false, now, actions);
+    return;
+  }
   // A daemon that was here before may have passed the first copy on.
   const bool is_promised = passed_->Has(header.flow, now) ||
                            (what.copy > 0 && now - started_ < kPromiseTime);
--- a/tests/steering/segment_owner_test.cc
+++ b/tests/steering/segment_owner_test.cc
@@ -340,6 +340,18 @@
   cr_assert(alone.Got<deliver_segment>() != nullptr);
 }
 
+Test(owner, passes_no_copy_on_while_it_holds_the_flow) {
+  lone_owner alone;
+  alone.Open(1);
+  steering_header header = lone_owner::Header(FlowOf(1));
+  header.services[0] = ServiceTag("shop");
+  alone.Steer(header, OpeningOf(FlowOf(1)));
+  cr_assert(alone.Discarded() == result_code::kNotThisTarget);
+  alone.SetCondition(target_condition::kDraining);
+  alone.Steer(OpeningOf(FlowOf(1)));
+  cr_assert(alone.Discarded() == result_code::kTargetDraining);
+}
+
 Test(owner, waits_for_all_copies_before_it_passes_one_on) {
   lone_owner alone;
   alone.Steer(OpeningOf(FlowOf(1), 1));
