--- a/src/steering/segment_owner.cc
+++ b/src/steering/segment_owner.cc
@@ -433,6 +433,7 @@
 // does not.
 bool segment_owner::IsNowhereOpen(const steering_header& header) const {
   return header.confirmed && confirmed_ && !header.uncertain &&
+         header.possible_owners > 0 &&
          header.possible_owners <= header.visit_count &&
          targets_->AllVisited(header);
 }
--- a/tests/steering/steering_world.cc
+++ b/tests/steering/steering_world.cc
@@ -234,8 +234,10 @@
         After(milliseconds(300) + UpTo(seconds(2)), [this, where] {
           where->dark = false;
           Spread(where, node_liveness::kAlive);
-          After(seconds(1),
-                [where] { where->daemon->SetConfirmed(!where->dark); });
+          After(seconds(1), [where, number = where->daemon_number] {
+            if (where->daemon_number == number)
+              where->daemon->SetConfirmed(!where->dark);
+          });
         });
         break;
       case 7:
