--- a/include/tamaracklatch/steering/segment_owner.h
+++ b/include/tamaracklatch/steering/segment_owner.h
@@ -129,7 +129,7 @@
               time_point now, actions* out);
   void EndSearch(const steering_header& header, const segment& what,
                  result_code why, time_point now, actions* out);
-  bool IsNowhereOpen(const steering_header& header) const;
+  bool IsNowhereOpen(const steering_header& header, time_point now) const;
   bool Visit(steering_header* header, bool is_sure, time_point now);
   std::uint32_t LeastLoaded(const steering_header& header);
   result_code WhyNot() const;
--- a/src/steering/segment_owner.cc
+++ b/src/steering/segment_owner.cc
@@ -406,7 +406,7 @@
                               time_point now,
                               std::vector<segment_action>* actions) {
   const bool may_reset = what.opens() ? what.copy == 0 : !what.tcp.rst;
-  const bool resets = may_reset && IsNowhereOpen(header);
+  const bool resets = may_reset && IsNowhereOpen(header, now);
   if (!what.opens()) {
     TellNotHere(steering_kind::kUnknown, header, actions);
   } else if (resets) {
@@ -431,11 +431,12 @@
 
 // After Visit: whether every target that may hold the flow has said that it
 // does not.
-bool segment_owner::IsNowhereOpen(const steering_header& header) const {
+bool segment_owner::IsNowhereOpen(const steering_header& header,
+                                  time_point now) const {
   return header.confirmed && confirmed_ && !header.uncertain &&
          header.possible_owners > 0 &&
          header.possible_owners <= header.visit_count &&
-         targets_->AllVisited(header);
+         targets_->AllVisited(header, now);
 }
 
 // ---- outcomes ----
--- a/src/steering/target_directory.cc
+++ b/src/steering/target_directory.cc
@@ -9,6 +9,9 @@
 // A search tries another silent target after this.
 constexpr std::chrono::milliseconds kSilentTurn{150};
 
+// A daemon that started so recently may not stand by what one said before.
+constexpr std::chrono::seconds kStartSettles{2};
+
 constexpr std::size_t kAll = std::numeric_limits<std::size_t>::max();
 
 }  // namespace
@@ -39,7 +42,10 @@
     target.service = service;
     services_[service].push_back(place->second);
   }
-  if (target.generation != record.generation) target.last_start = 0;
+  if (is_new || target.generation != record.generation) {
+    target.last_start = 0;
+    target.known_since = now;
+  }
   target.generation = record.generation;
   target.own_zone = record.zone == zone_;
   target.liveness = entry.liveness;
@@ -119,7 +125,8 @@
   return kNoTargetIndex;
 }
 
-bool target_directory::AllVisited(const steering_header& header) const {
+bool target_directory::AllVisited(const steering_header& header,
+                                  time_point now) const {
   std::array<std::uint16_t, kMaxSteeringVisits> nodes{};
   if (search_.size() > nodes.size()) return false;
   std::size_t count = 0;
@@ -127,6 +134,7 @@
     for (const target_index index : *list) {
       const std::uint16_t node = targets_[index].node;
       if (!header.HasVisited(node)) return false;
+      if (now - targets_[index].known_since < kStartSettles) return false;
       nodes[count++] = node;
     }
   }
--- a/src/steering/target_directory.h
+++ b/src/steering/target_directory.h
@@ -34,6 +34,7 @@
   std::uint64_t target_start = 0;
   // The last start that this start of the daemon told; 0: none yet.
   std::uint64_t last_start = 0;
+  time_point known_since;  // this start of the daemon
   time_point changed;
 
   bool TakesOpenings() const {
@@ -82,9 +83,9 @@
   target_index NextOwner(const steering_header& header, const endpoint& self,
                          time_point now) const;
 
-  // After ListOwners: whether all were visited and each visit counts for one
-  // target only.
-  bool AllVisited(const steering_header& header) const;
+  // After ListOwners: whether all were visited, each visit counts for one
+  // target only, and no daemon has started since the flow's first segment.
+  bool AllVisited(const steering_header& header, time_point now) const;
 
  private:
   struct ranked_target {
--- a/tests/steering/target_directory_test.cc
+++ b/tests/steering/target_directory_test.cc
@@ -13,6 +13,7 @@
 using test::TargetAt;
 
 constexpr duration kMaxFlowAge = seconds(60);
+constexpr time_point kSettled = kStart + seconds(2);
 
 steering_header HeaderOf(std::uint64_t flow) {
   steering_header header;
@@ -43,7 +44,7 @@
         alive == 0 ? 0 : *rc::gen::inRange<std::size_t>(0, alive);
     endpoint self;
     for (std::size_t step = 0; step < count; ++step) {
-      RC_ASSERT(!directory.AllVisited(header));
+      RC_ASSERT(!directory.AllVisited(header, kSettled));
       const target_index next = step == 0 && alive > 0
                                     ? search.alive[start]
                                     : directory.NextOwner(header, self, kStart);
@@ -53,7 +54,7 @@
       self = directory.At(next).where;
     }
     RC_ASSERT(directory.NextOwner(header, self, kStart) == kNoTargetIndex);
-    RC_ASSERT(directory.AllVisited(header));
+    RC_ASSERT(directory.AllVisited(header, kSettled));
   });
 }
 
@@ -136,6 +137,23 @@
   cr_assert(!directory.Update(balancer, kStart));
 }
 
+Test(directory, trusts_no_visit_of_a_daemon_that_just_started) {
+  target_directory directory("a", kMaxFlowAge);
+  roster_entry entry = TargetAt(1, "web");
+  directory.Update(entry, kStart);
+  steering_header header = HeaderOf(1);
+  header.AddVisit(NodeTag(entry.record.where));
+  directory.ListOwners(header, kStart);
+  cr_assert(!directory.AllVisited(header, kStart + seconds(1)));
+  cr_assert(directory.AllVisited(header, kSettled));
+  ++entry.record.sequence;
+  directory.Update(entry, kSettled);
+  cr_assert(directory.AllVisited(header, kSettled));
+  ++entry.record.generation;
+  directory.Update(entry, kSettled);
+  cr_assert(!directory.AllVisited(header, kSettled));
+}
+
 Test(directory, sees_that_two_targets_share_a_tag) {
   // More targets than tags leave no doubt that two share one.
   target_directory directory("a", kMaxFlowAge);
@@ -154,10 +172,10 @@
   steering_header header = HeaderOf(1);
   header.AddVisit(NodeTag(test::DaemonAt(number)));
   directory.ListOwners(header, kStart);
-  cr_assert(directory.AllVisited(header));
+  cr_assert(directory.AllVisited(header, kSettled));
   directory.Update(TargetAt(twin, "web"), kStart);
   directory.ListOwners(header, kStart);
-  cr_assert(!directory.AllVisited(header));
+  cr_assert(!directory.AllVisited(header, kSettled));
 }
 
 }  // namespace
