--- a/src/steering/segment_owner.cc
+++ b/src/steering/segment_owner.cc
@@ -158,20 +158,22 @@
             actions);
     return;
   }
-  if (header.services[0] != service_) {
-    TellNotHere(steering_kind::kUnknown, header, actions);
-    PassOpening(header, what, result_code::kNotThisTarget, false, now, actions);
-    return;
-  }
   if (flow != nullptr) {
-    // The handshake goes on, unless the target takes no openings any more.
-    if (status_.condition == target_condition::kReady) {
-      Deliver(header, what, flow, now, actions);
-    } else {
+    // The handshake goes on here, unless the target takes no openings any more.
+    if (header.services[0] != service_) {
+      Discard(result_code::kNotThisTarget, actions);
+    } else if (status_.condition != target_condition::kReady) {
       Discard(result_code::kTargetDraining, actions);
+    } else {
+      Deliver(header, what, flow, now, actions);
     }
     return;
   }
+  if (header.services[0] != service_) {
+    TellNotHere(steering_kind::kUnknown, header, actions);
+    PassOpening(header, what, result_code::kNotThisTarget, false, now, actions);
+    return;
+  }
   // A daemon that was here before may have passed the first copy on.
   const bool is_promised = passed_->Has(header.flow, now) ||
                            (what.copy > 0 && now - started_ < kPromiseTime);
@@ -404,7 +406,7 @@
                               time_point now,
                               std::vector<segment_action>* actions) {
   const bool may_reset = what.opens() ? what.copy == 0 : !what.tcp.rst;
-  const bool resets = may_reset && IsNowhereOpen(header);
+  const bool resets = may_reset && IsNowhereOpen(header, now);
   if (!what.opens()) {
     TellNotHere(steering_kind::kUnknown, header, actions);
   } else if (resets) {
@@ -429,10 +431,12 @@
 
 // After Visit: whether every target that may hold the flow has said that it
 // does not.
-bool segment_owner::IsNowhereOpen(const steering_header& header) const {
+bool segment_owner::IsNowhereOpen(const steering_header& header,
+                                  time_point now) const {
   return header.confirmed && confirmed_ && !header.uncertain &&
+         header.possible_owners > 0 &&
          header.possible_owners <= header.visit_count &&
-         targets_->AllVisited(header);
+         targets_->AllVisited(header, now);
 }
 
 // ---- outcomes ----
