--- a/src/daemon/event_log.cc
+++ b/src/daemon/event_log.cc
@@ -40,12 +40,12 @@
 // Ends the library's pool of threads but for the one that it keeps: no appender
 // here writes from another thread.
 void StartLibrary() {
-  static const bool started = [] {
+  static const bool kStarted = [] {
     log4cplus::initialize();
     log4cplus::setThreadPoolSize(0);
     return true;
   }();
-  static_cast<void>(started);
+  static_cast<void>(kStarted);
 }
 
 }  // namespace
