Reset flows that no target holds as soon as the roster is settled

Cause: after all machines lost power, callers kept retransmitting on flows of the past for their whole deadline. Balancers confirmed no search for 60 s after their start (earlier sets may have had other services), and then only after 1 s of retransmissions of the same flow. Change: a young balancer searches the targets of all services it knows; a search is confirmed once no target has joined for 500 ms, or the flow was looked for as long. Leaders are elected with 300 ms. Ruled out: resets from the first segment on without a settled roster: a flow may be open at a target just joined.

--- a/src/daemon/steering_balancer.cc
+++ b/src/daemon/steering_balancer.cc
@@ -144,7 +144,7 @@
 void steering_balancer::Check() {
   const time_point now = frame_.Now();
   const bool confirmed = IsViewConfirmed(now);
-  router_.SetConfirmed(confirmed);
+  router_.SetConfirmed(confirmed && roster_.member().IsInTouch(now));
   if (stopping_) {
     const bool waited = now - *stopping_ >= kLeastStop;
     const bool quiet = now - last_segment_ >= kQuietStop;
--- a/src/daemon/steering_control.h
+++ b/src/daemon/steering_control.h
@@ -24,9 +24,8 @@
   std::vector<endpoint> seeds;  // cluster endpoints of control VMs
   bool founds = false;  // the first start of all; the seeds found the log
   std::uint32_t tolerated_losses = 1;  // of control VMs at once
-  duration heartbeat_interval =
-      std::chrono::milliseconds(100);  // of the leader
-  duration election_timeout = std::chrono::milliseconds(400);
+  duration heartbeat_interval = std::chrono::milliseconds(75);  // of the leader
+  duration election_timeout = std::chrono::milliseconds(300);
 };
 
 // An operator's answer, as the adapter writes it.
--- a/src/steering/segment_router.cc
+++ b/src/steering/segment_router.cc
@@ -36,9 +36,10 @@
 // the last one is a retransmission.
 constexpr std::chrono::milliseconds kSearchAgain{150};
 
-// A target that joined is known everywhere by then, so a flow that is looked
-// for as long is not one that opened at a target unknown to others.
-constexpr std::chrono::seconds kRosterSettles{1};
+// A target that joined is known to the balancers and the target daemons by
+// then. A flow that is looked for as long, or while nothing has joined for as
+// long, is not one that opened at a target unknown to all of them.
+constexpr std::chrono::milliseconds kRosterSettles{500};
 
 // Flows remembered of which events told.
 constexpr std::size_t kToldFlows = 256;
@@ -188,8 +189,7 @@
   header.flow = flow;
   header.balancer = settings_.self;
   header.set_version = set_version_;
-  // Sets from before the own start may have had other services.
-  bool complete = now - first_set_ >= flow_age;
+  bool complete = true;
   const auto add = [&](std::uint32_t tag) {
     if (header.HasService(tag)) return;
     if (header.service_count == kMaxSteeringServices) {
@@ -203,6 +203,10 @@
   for (const past_service& each : by.past) {
     if (each.searched_until > now) add(each.tag);
   }
+  // Sets from before the own start may have had any service for the route.
+  if (now - first_set_ < flow_age) {
+    for (const std::uint32_t tag : targets_->Services()) add(tag);
+  }
   header.confirmed = confirmed_ && complete;
   return header;
 }
@@ -326,7 +330,9 @@
     ++known->searches;
   known->searched = now;
   if (known->first_searched == time_point()) known->first_searched = now;
-  if (now - known->first_searched < kRosterSettles) header.confirmed = false;
+  const time_point since =
+      std::min(known->first_searched, targets_->last_joined());
+  if (now - since < kRosterSettles) header.confirmed = false;
   // Each retransmission asks another target first, so that one that is dead
   // hides the owner from one segment only.
   std::size_t turn = known->searches;
--- a/src/steering/target_directory.cc
+++ b/src/steering/target_directory.cc
@@ -1,6 +1,7 @@
 // Targets by service, ranked by rendezvous hashing of flow and endpoint.
 #include "steering/target_directory.h"
 
+#include <algorithm>
 #include <limits>
 
 namespace tamaracklatch {
@@ -45,6 +46,7 @@
   if (is_new || target.generation != record.generation) {
     target.last_start = 0;
     target.known_since = now;
+    last_joined_ = now;
   }
   target.generation = record.generation;
   target.own_zone = record.zone == zone_;
@@ -81,6 +83,14 @@
          now - target.changed < max_flow_age_;
 }
 
+std::vector<std::uint32_t> target_directory::Services() const {
+  std::vector<std::uint32_t> tags;
+  tags.reserve(services_.size());
+  for (const auto& [tag, listed] : services_) tags.push_back(tag);
+  std::sort(tags.begin(), tags.end());
+  return tags;
+}
+
 const owner_search& target_directory::ListOwners(const steering_header& header,
                                                  time_point now) {
   search_.alive.clear();
--- a/src/steering/target_directory.h
+++ b/src/steering/target_directory.h
@@ -68,12 +68,18 @@
   }
   std::size_t size() const { return targets_.size(); }
 
+  // When a start of a target daemon was last heard of for the first time.
+  time_point last_joined() const { return last_joined_; }
+
   // The first `most` targets in the flow's order among those of the service for
   // which `accepts` holds.
   template <typename Predicate>
   void Rank(std::uint64_t flow, std::uint32_t service, std::size_t most,
             Predicate accepts, std::vector<target_index>* out);
 
+  // Tags of the services that any target known is of, in ascending order.
+  std::vector<std::uint32_t> Services() const;
+
   // The possible owners of the header's flow. The result is valid until the
   // next call.
   const owner_search& ListOwners(const steering_header& header, time_point now);
@@ -104,6 +110,7 @@
   zone_name zone_;
   duration max_flow_age_;
   std::vector<directory_target> targets_;
+  time_point last_joined_;
   std::unordered_map<endpoint, target_index, endpoint_hash> places_;
   std::unordered_map<std::uint32_t, std::vector<target_index>> services_;
   owner_search search_;
