--- a/src/daemon/steering_balancer.cc
+++ b/src/daemon/steering_balancer.cc
@@ -13,10 +13,6 @@
 
 constexpr std::chrono::milliseconds kCheckInterval{
     100};  // between looks at readiness and the end of a stop
-// A stop lasts at least this long: the fabric must notice first.
-constexpr std::chrono::milliseconds kLeastStop{1600};
-// A stop ends once no segment came for this long.
-constexpr std::chrono::milliseconds kQuietStop{300};
 
 roster_member_settings MemberSettings(
     const steering_balancer_settings& settings) {
@@ -98,7 +94,6 @@
   const auto what = codec_->Decode(bytes, false, &why);
   if (!what) return CountRefused(why.code);
   const time_point now = frame_.Now();
-  last_segment_ = now;
   const steering_decision decision = router_.Route(*what, now);
   std::visit([&](const auto& each) { Do(each, *what); }, decision);
 }
@@ -146,10 +141,9 @@
   const bool confirmed = IsViewConfirmed(now);
   router_.SetConfirmed(confirmed && roster_.member().IsInTouch(now));
   if (stopping_) {
-    const bool waited = now - *stopping_ >= kLeastStop;
-    const bool quiet = now - last_segment_ >= kQuietStop;
-    if ((waited && quiet) || now - *stopping_ >= settings_.stop_limit)
-      frame_.Stop();
+    // Until the end: where few balancers are left, the fabric may still choose
+    // one that said that it is not ready.
+    if (now - *stopping_ >= settings_.stop_limit) frame_.Stop();
     return;
   }
   const bool has_view = roster_.member().set().version != 0 && confirmed &&
--- a/src/daemon/steering_balancer.h
+++ b/src/daemon/steering_balancer.h
@@ -23,7 +23,7 @@
   std::uint16_t caller_port = 0;  // UDP: where callers take segments
   // An accepted document set must be in force within this.
   duration propagation_limit = std::chrono::seconds(3);
-  duration stop_limit = std::chrono::seconds(5);  // of a graceful stop
+  duration stop_limit = std::chrono::seconds(5);  // how long a stop forwards
   duration max_flow_age = std::chrono::seconds(60);
 };
 
@@ -69,7 +69,6 @@
   bool ready_ = false;
   bool was_ready_ = false;              // once since the start
   std::optional<time_point> stopping_;  // when the stop began
-  time_point last_segment_;
 };
 
 }  // namespace tamaracklatch
