--- a/src/steering/segment_owner.cc
+++ b/src/steering/segment_owner.cc
@@ -18,10 +18,11 @@
 
 // An opening is passed on to one of so many targets of the flow's order.
 constexpr std::size_t kPassRanks = 4;
-// Targets that an opening may visit, and those that may pass it on only since
-// they are busy.
-constexpr std::size_t kMaxOpeningVisits = 8;
+// Visits after which an opening is not passed on any more: because a target is
+// busy, to one that may take it, to find out that it is open nowhere.
 constexpr std::size_t kMaxBusyVisits = 2;
+constexpr std::size_t kMaxOpeningVisits = 6;
+constexpr std::size_t kMaxRefusalVisits = 16;
 
 // A report this long after an opening says that the target which took it is the
 // one reported.
@@ -301,10 +302,14 @@
   // Who comes last may refuse the flow, so no later copy is taken here.
   if (what.copy == 0 && header.confirmed && !header.uncertain)
     passed_->Note(header.flow, now);
-  if (visited && header.visit_count <= kMaxOpeningVisits) {
-    target_index next = LeastLoaded(header);
+  if (visited) {
+    target_index next = kNoTargetIndex;
+    if (header.visit_count <= kMaxOpeningVisits) next = LeastLoaded(header);
     // Only the first copy may be refused, and only once all were asked.
-    if (next == kNoTargetIndex && what.copy == 0)
+    const bool may_refuse = what.copy == 0 && header.confirmed &&
+                            !header.uncertain && confirmed_ &&
+                            header.possible_owners <= kMaxRefusalVisits;
+    if (next == kNoTargetIndex && may_refuse)
       next = targets_->NextOwner(header, settings_.self, now);
     if (next != kNoTargetIndex) {
       counters_.passed.Add(why);
--- a/tests/steering/segment_owner_test.cc
+++ b/tests/steering/segment_owner_test.cc
@@ -364,6 +364,35 @@
   cr_assert(alone.Got<pass_segment>() != nullptr);
 }
 
+Test(owner, asks_all_only_where_it_may_refuse) {
+  struct row {
+    const char* name;
+    std::uint32_t copy;
+    bool confirmed;
+    std::uint32_t targets;
+    bool asks;
+  };
+  constexpr row kRows[] = {{"first copy", 0, true, 16, true},
+                           {"later copy", 1, true, 16, false},
+                           {"not confirmed", 0, false, 16, false},
+                           {"too many", 0, true, 17, false}};
+  for (const row& each : kRows) {
+    lone_owner alone;
+    for (std::uint32_t number = 1; number <= each.targets; ++number) {
+      roster_entry entry = TargetAt(number, "web");
+      entry.record.condition = target_condition::kDraining;
+      alone.owner->UpdateTarget(entry, alone.now);
+    }
+    alone.SetCondition(target_condition::kDraining);
+    steering_header header = lone_owner::Header(FlowOf(1));
+    header.confirmed = each.confirmed;
+    alone.Steer(header, OpeningOf(FlowOf(1), each.copy));
+    cr_assert((alone.Got<pass_segment>() != nullptr) == each.asks, "%s",
+              each.name);
+    cr_assert(!alone.HasReset());
+  }
+}
+
 Test(owner, delivers_no_opening_while_it_drains) {
   lone_owner alone;
   alone.Open(1);
