--- a/tests/roster/roster_test.cc
+++ b/tests/roster/roster_test.cc
@@ -1,8 +1,10 @@
 // Tests of members and hubs: who is alive, what is told when, and how much.
 #include <criterion/criterion.h>
 
-#include <algorithm>
+#include <map>
+#include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -263,8 +265,10 @@
       if (!message) continue;
       ++announced;
       for (std::size_t i = 0; i < numbers.size(); ++i)
-        if (sent->to == Where(100 + static_cast<std::uint32_t>(i)))
+        if (sent->to == Where(100 + static_cast<std::uint32_t>(i))) {
           numbers[i] = message->number;
+          positions_told[i] = message->position;
+        }
     }
   }
 
@@ -315,6 +319,7 @@
   std::vector<std::uint64_t> instances;
   std::vector<std::uint64_t> numbers;  // of the last announcement
   std::map<std::size_t, std::uint64_t> positions;
+  std::map<std::size_t, std::uint64_t> positions_told;  // to the hubs
   std::size_t announced = 0;
   time_point now;
 };
@@ -474,6 +479,62 @@
   cr_expect(disputes > 0);
 }
 
+// What was not believed is asked for again once nothing speaks against it.
+Test(roster_member, a_disputed_start_is_known_once_the_later_one_is_forgotten) {
+  told_member test(2);
+  test.Tell(0, {{Record(5, 200), kSilent}}, 0);
+  test.Tell(1, {{Record(5, 150), kAlive}}, 0);
+  cr_expect(test.member.entries().at(Where(5)).record.generation == 200);
+  test.RunUntil(test.now + seconds(95), {0, 1});
+  cr_expect(test.member.entries().count(Where(5)) == 0);
+  cr_expect(test.positions_told.at(0) == 1);
+  cr_expect(test.positions_told.at(1) == 0);
+}
+
+Test(roster_member, a_hub_that_forgot_since_is_heard_from_the_start) {
+  told_member test(1);
+  test.Tell(0, {{Record(5), kAlive}, {Record(6), kAlive}}, 0);
+  // It forgot 6, whose silence was its third change.
+  roster_update update = test.Update(0);
+  update.from = update.to = 2;
+  update.newest = update.forgotten = 3;
+  test.Give(0, update);
+  test.RunUntil(test.now + milliseconds(50), {});
+  cr_expect(test.positions_told.at(0) == 0);
+  // Told in two updates now; the first ends before what was forgotten.
+  test.positions[0] = 0;
+  entry_writer writer;
+  writer.Add(Record(5), kAlive, duration(0));
+  update = test.Update(0);
+  update.to = 1;
+  update.newest = update.forgotten = 3;
+  update.entries = writer.Take();
+  test.Give(0, update);
+  update = test.Update(0);
+  update.from = 1;
+  update.to = update.newest = update.forgotten = 3;
+  test.Give(0, update);
+  test.RunUntil(test.now + milliseconds(300), {});
+  cr_expect(test.positions_told.at(0) == 3);
+  cr_expect(test.LivenessOf(5) == kAlive);
+  cr_expect(test.LivenessOf(6) == kSilent);
+}
+
+Test(roster_member, a_word_from_before_the_hub_started_is_not_believed) {
+  told_member test(1);
+  test.RunUntil(test.now + milliseconds(300), {});
+  roster_update late = test.Update(0);
+  test.RunUntil(test.now + milliseconds(300), {});
+  test.instances[0] = 90;
+  test.Tell(0, {{Record(5), kSilent}}, 0);
+  entry_writer writer;
+  writer.Add(Record(5), kAlive, duration(0));
+  late.to = late.newest = 1;
+  late.entries = writer.Take();
+  test.Give(0, late);
+  cr_expect(test.LivenessOf(5) == kSilent);
+}
+
 Test(roster_member, a_confirmation_is_no_later_than_the_question) {
   struct row {
     duration on_the_way;  // from the announcement to the update's arrival
