--- a/tests/roster/roster_test.cc
+++ b/tests/roster/roster_test.cc
@@ -565,6 +565,41 @@
   }
 }
 
+Test(roster_member, a_confirmation_waits_for_its_set) {
+  told_member test(1, true);
+  document_set set;
+  set.version = 4;
+  set.services = {"desk"};
+  const std::string bytes = EncodeDocumentSet(set);
+  roster_update update = test.Update(0);
+  update.documents = {4, bytes.size(), HashBytes(bytes.data(), bytes.size())};
+  update.confirmed = set_confirmation{4, milliseconds(10)};
+  test.Give(0, update);
+  cr_expect(!test.member.confirmed());
+  test.Keep(test.member.OnMessage(
+      Where(100), Encode(set_part{4, bytes.size(), 0, bytes}), test.now));
+  cr_expect(test.member.set().version == 4);
+  cr_expect(test.member.confirmed() == kStart - milliseconds(10));
+}
+
+Test(roster_member, no_two_starts_raise_to_the_same_generation) {
+  std::vector<std::uint64_t> raised;
+  for (const std::uint64_t generation : {100, 101, 102}) {
+    roster_member member(told_member::Settings(1, false), Record(1, generation),
+                         kStart);
+    member.OnTick(kStart);
+    roster_update update;
+    update.instance = 70;
+    update.echo = generation + 1;
+    update.superseded = 5000;
+    member.OnMessage(Where(100), Encode(update), kStart);
+    raised.push_back(member.own().generation);
+    cr_expect(raised.back() > 5000);
+  }
+  cr_expect(raised[0] != raised[1] && raised[1] != raised[2] &&
+            raised[0] != raised[2]);
+}
+
 roster_world CalmWorld(std::uint64_t seed = 3) {
   world_settings settings;
   settings.seed = seed;
