--- a/include/tamaracklatch/consensus/consensus_action.h
+++ b/include/tamaracklatch/consensus/consensus_action.h
@@ -55,13 +55,17 @@
   std::string data;
 };
 
-// The batch of a persist_batch action is durable.
+// The batch of the persist_batch action of this number is durable.
 struct batch_persisted {
-  revision last_index;
+  std::uint64_t number = 0;
 };
 
-// A batch could not be made durable, or a snapshot could not be restored. The
-// node stops for good.
+// The disk refused a batch, which will be tried again.
+struct storage_refused {
+  failure reason;
+};
+
+// A snapshot could not be restored. The node stops for good.
 struct storage_failed {
   failure reason;
 };
@@ -69,15 +73,16 @@
 using consensus_input =
     std::variant<timer_due, message_received, command_proposed, read_asked,
                  voter_change_asked, peers_learned, snapshot_taken,
-                 batch_persisted, storage_failed>;
+                 batch_persisted, storage_refused, storage_failed>;
 
 struct send_message {
   consensus_message message;
 };
 
-// To be made durable before any later action; answered by batch_persisted or
-// storage_failed. After a failure the later actions must be dropped.
+// To be made durable after the batches before it; answered by batch_persisted.
+// Other actions need not wait: the node holds back what depends on it.
 struct persist_batch {
+  std::uint64_t number = 0;
   storage_batch batch;
 };
 
--- a/include/tamaracklatch/consensus/consensus_node.h
+++ b/include/tamaracklatch/consensus/consensus_node.h
@@ -2,8 +2,8 @@
 // actions come out.
 //
 // Elections have a pre-vote and need a quorum of synced votes. A leader that
-// hears from no quorum steps down. Reads are served under a lease counted on
-// the leader's own clock, else after a round of confirmations. Only entries of
+// hears from no quorum steps down. Reads are served after a round of
+// confirmations that began after they were asked. Only entries of
 // the leader's own term are committed by counting. Voters change one at a time,
 // after a newcomer has caught up as a learner.
 #pragma once
@@ -35,7 +35,7 @@
   kPreCandidate,
   kCandidate,
   kLeader,
-  kStopped,  // its storage failed; it does nothing any more
+  kStopped,  // its state could not be restored; it does nothing any more
 };
 
 // The role's name: "leader".
@@ -86,9 +86,6 @@
   bool confirmed() const { return confirmed_; }
   const replicated_log& log() const { return log_; }
 
-  // Whether the leader's lease still runs at `now`.
-  bool HoldsLease(time_point now) const;
-
  private:
   struct confirmation_round {
     std::uint64_t number = 0;
@@ -105,6 +102,14 @@
     std::uint64_t echoed = 0;  // the announcement of this VM that it had heard
     bool fresh = false;        // that was one of the last two
   };
+  // The batch that the storage works on.
+  struct write_under_way {
+    std::uint64_t number = 0;
+    time_point since;
+    bool holds_identity = false;  // it writes term, vote or cluster
+    bool refused = false;
+    revision last_index;  // of the log as far as it agrees with the batch
+  };
   // A read that this leader must confirm, for itself or for a follower.
   struct pending_read {
     std::uint64_t id = 0;
@@ -128,6 +133,7 @@
   void On(const peers_learned& input);
   void On(const snapshot_taken& input);
   void On(const batch_persisted& input);
+  void On(const storage_refused& input);
   void On(const storage_failed& input);
 
   // Messages.
@@ -234,8 +240,13 @@
               result_code code = result_code::kOk, const vm_name& peer = {});
   void TakeMessages(std::vector<consensus_message>* messages,
                     std::vector<consensus_action>* actions);
+  void TakeImmediate(std::vector<consensus_action>* actions);
+  void TakeDurable(std::vector<consensus_action>* actions);
   void TakeFounding(std::vector<consensus_action>* actions);
-  void TakeBatch(std::vector<consensus_action>* actions);
+  bool TakeBatch(std::vector<consensus_action>* actions);
+  void ForgetUnsynced(revision after);
+  revision KeptAfter(revision index) const;
+  bool StorageStalls() const;
   void TakeCommitted(std::vector<consensus_action>* actions);
   void AfterCommitted(const log_entry& entry);
   void SnapshotIfDue(std::vector<consensus_action>* actions);
@@ -257,6 +268,9 @@
   std::optional<revision> compact_dirty_;
   revision unsaved_;  // the first entry not yet in a batch
   revision synced_;   // the last durable entry
+  std::optional<write_under_way> writing_;
+  std::uint64_t batch_number_ = 0;  // of the newest batch
+  bool identity_durable_ = false;   // disk and cluster
 
   revision commit_;
   revision applied_;
@@ -286,9 +300,8 @@
   std::uint64_t round_ = 0;
   std::uint64_t quorum_round_ = 0;         // the newest that a quorum confirmed
   std::deque<confirmation_round> rounds_;  // from quorum_round_ on
-  std::optional<time_point> lease_start_;
   time_point attentive_since_;  // it leads, and its process ran, since then
-  time_point quorum_contact_;   // as lease_start_, or when it was elected
+  time_point quorum_contact_;   // start of that round, or of the leadership
   bool round_wanted_ = false;
   time_point heartbeat_deadline_;
   std::size_t uncommitted_bytes_ = 0;
@@ -305,8 +318,9 @@
 
   // Output since the last TakeActions().
   std::vector<consensus_message> now_messages_;
-  std::vector<consensus_message> durable_messages_;
-  std::vector<consensus_action> outcomes_;  // answers and events
+  std::vector<consensus_message> durable_messages_;  // wait for the next batch
+  std::vector<consensus_message> behind_write_;      // wait for `writing_`
+  std::vector<consensus_action> outcomes_;           // answers and events
   bool mismatch_reported_ = false;
 };
 
--- a/include/tamaracklatch/consensus/consensus_runner.h
+++ b/include/tamaracklatch/consensus/consensus_runner.h
@@ -2,7 +2,10 @@
 // machine and a transport.
 #pragma once
 
+#include <deque>
 #include <memory>
+#include <optional>
+#include <vector>
 
 #include "tamaracklatch/consensus/consensus_action.h"
 #include "tamaracklatch/consensus/consensus_node.h"
@@ -24,15 +27,26 @@
   virtual void OnEvent(const event& what) = 0;
 };
 
+// Writes batches for a runner elsewhere, so that a disk that hangs stops
+// nobody.
+class batch_writer {
+ public:
+  virtual ~batch_writer() = default;
+  // Persists one batch, which stays as it is until the runner's OnWritten() is
+  // called with the result. Not called again before.
+  virtual void Write(const storage_batch& batch) = 0;
+};
+
 // The objects passed in must outlive the runner.
 class consensus_runner {
  public:
   // Loads the storage. Returns nothing, with the storage's code, if it can't be
-  // read.
+  // read. Without a `writer` batches are written to the storage by Flush().
   static std::unique_ptr<consensus_runner> Start(
       const consensus_settings& settings, log_storage* storage,
       replicated_state_machine* machine, consensus_listener* listener,
-      random_source random, time_point now, failure* last_failure);
+      random_source random, time_point now, failure* last_failure,
+      batch_writer* writer = nullptr);
 
   // Takes an input. Its effects come with the next Flush(): several inputs
   // before one Flush() share one sync.
@@ -41,8 +55,12 @@
   // Carries out all actions.
   void Flush(time_point now);
 
+  // The writer is done with its batch; a failure says why it could not be
+  // written.
+  void OnWritten(const std::optional<failure>& refused, time_point now);
+
   // When timer_due must be handled, at the latest.
-  time_point NextDeadline() const { return node_.NextDeadline(); }
+  time_point NextDeadline() const;
 
   const consensus_node& node() const { return node_; }
 
@@ -50,11 +68,14 @@
   consensus_runner(const consensus_settings& settings, stored_state stored,
                    log_storage* storage, replicated_state_machine* machine,
                    consensus_listener* listener, random_source random,
-                   time_point now);
+                   time_point now, batch_writer* writer);
 
   // Answers what stood after an action that failed.
   void AnswerDropped(const std::vector<consensus_action>& actions,
                      const consensus_action* failed);
+  // Writes what waits, unless a batch is under way or must wait for its retry.
+  void WriteBatches(time_point now);
+  bool MayWrite(time_point now) const;
 
   // Each returns false when the actions after it must be dropped.
   bool Do(const send_message& action, time_point now);
@@ -70,6 +91,10 @@
   log_storage* storage_;
   replicated_state_machine* machine_;
   consensus_listener* listener_;
+  batch_writer* writer_;                 // null: written at once
+  std::deque<persist_batch> unwritten_;  // the first may be under way
+  bool writing_ = false;
+  std::optional<time_point> retry_;  // of the first, which was refused
 };
 
 }  // namespace tamaracklatch
--- a/include/tamaracklatch/consensus/consensus_settings.h
+++ b/include/tamaracklatch/consensus/consensus_settings.h
@@ -22,10 +22,7 @@
   duration heartbeat_interval = std::chrono::milliseconds(100);
   // A follower waits from one to two of these before it stands for election,
   // and votes for nobody within one of them after a leader's message.
-  duration election_timeout = std::chrono::milliseconds(1000);
-  // Share of the election timeout by which the leader's lease is shorter: the
-  // clocks of two VMs may differ in rate by less than this.
-  double lease_drift_margin = 0.1;
+  duration election_timeout = std::chrono::milliseconds(700);
   // Between two announcements of a blank VM.
   duration join_interval = std::chrono::milliseconds(500);
 
@@ -38,6 +35,10 @@
   // again when it announces itself.
   duration learner_silence = std::chrono::seconds(30);
 
+  // A write that the disk has not finished after this long: a leader steps
+  // down, and nobody stands for election until it is finished.
+  duration storage_patience = std::chrono::milliseconds(1000);
+
   std::size_t max_append_bytes = 128 * 1024;        // of one message's entries
   std::size_t max_in_flight_messages = 16;          // to one follower
   std::size_t max_uncommitted_bytes = 8192 * 1024;  // on the leader
@@ -46,9 +47,11 @@
   std::size_t max_snapshot_bytes = 64 * 1024 * 1024;  // accepted from a leader
   // A snapshot is taken after this many bytes of log, or as many as the last
   // snapshot has.
-  std::size_t snapshot_log_bytes = 4096 * 1024;
-  // Entries kept behind a snapshot for followers that lag a little.
+  std::size_t snapshot_log_bytes = 2048 * 1024;
+  // Entries kept behind a snapshot for followers that lag a little, up to
+  // either bound.
   std::size_t kept_entries = 4096;
+  std::size_t kept_bytes = 2048 * 1024;
   // A learner this near to the end of the log becomes a voter.
   std::size_t promotion_gap = 64;  // entries
 };
--- a/include/tamaracklatch/consensus/file_log_storage.h
+++ b/include/tamaracklatch/consensus/file_log_storage.h
@@ -23,7 +23,7 @@
 
 struct file_log_settings {
   std::string folder;                           // created if it is missing
-  std::size_t segment_bytes = 8 * 1024 * 1024;  // a new file after this many
+  std::size_t segment_bytes = 2 * 1024 * 1024;  // a new file after this many
 };
 
 // Counts for benchmarks and metrics.
@@ -61,6 +61,7 @@
   bool LoadSegments(stored_state* state, failure* last_failure);
   bool LoadSegment(std::uint64_t first_sequence, bool last, stored_state* state,
                    failure* last_failure);
+  bool RemoveTemporary(failure* last_failure);
   bool RepairTail(const std::string& path, std::uint64_t good_bytes,
                   failure* last_failure);
 
@@ -82,7 +83,8 @@
   std::uint64_t newest_segment_ = 0;  // must be there at a start
   std::uint64_t next_sequence_ = 1;
   std::deque<segment> segments_;  // oldest first
-  bool failed_ = false;
+  bool torn_ = false;  // the last segment holds more than its good bytes
+  bool loaded_ = false;
 };
 
 }  // namespace tamaracklatch
--- a/include/tamaracklatch/consensus/log_storage.h
+++ b/include/tamaracklatch/consensus/log_storage.h
@@ -1,5 +1,5 @@
-// Where a member keeps its log. Whatever Persist() returned true for survives
-// the loss of power.
+// Where a member keeps its log. Whatever Load() gave or Persist() returned true
+// for survives the loss of power.
 #pragma once
 
 #include <cstdint>
@@ -29,7 +29,6 @@
   std::vector<log_entry> entries;
   std::optional<revision> compact_before;  // older entries are not needed;
                                            // the one at it still is
-  revision last_index;  // of the log once this batch is durable
 };
 
 class log_storage {
@@ -39,8 +38,8 @@
   // Reads what is there, called once before the first Persist().
   virtual std::optional<stored_state> Load(failure* last_failure) = 0;
 
-  // Writes and syncs the batch. After a failure the storage must not be used
-  // any more: what it holds is known only after the next start.
+  // Writes and syncs the batch. After a failure the storage holds a beginning
+  // of it, and the same batch must be persisted again before any other.
   virtual bool Persist(const storage_batch& batch, failure* last_failure) = 0;
 };
 
--- a/src/consensus/consensus_election.cc
+++ b/src/consensus/consensus_election.cc
@@ -49,7 +49,7 @@
 
 void consensus_node::StartPreVote() {
   RetryElectionSoon();
-  if (!MayStand()) return;
+  if (!MayStand() || StorageStalls()) return;
   role_ = consensus_role::kPreCandidate;
   leader_.reset();
   votes_ = {self_};
@@ -133,7 +133,6 @@
   reads_.clear();
   rounds_.clear();
   quorum_round_ = round_;
-  lease_start_.reset();
   quorum_contact_ = now_;
   attentive_since_ = now_;
   waiting_.clear();
@@ -178,10 +177,10 @@
   leader_.reset();
   progress_.clear();
   waiting_.clear();
-  lease_start_.reset();
   round_wanted_ = false;
   FailPending();
   ResetElectionDeadline();
+  join_deadline_ = now_ + settings_.join_interval;
   Report(event_id::kLeaderSteppedDown, why);
 }
 
--- a/src/consensus/consensus_node.cc
+++ b/src/consensus/consensus_node.cc
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <iterator>
 #include <limits>
 #include <utility>
 
@@ -15,6 +16,9 @@
 
 constexpr std::chrono::hours kIdle{1};  // when nothing is due
 constexpr std::size_t kNoLimit = std::numeric_limits<std::size_t>::max();
+// Messages held back while the disk does not answer; the oldest are dropped, as
+// if lost on the way.
+constexpr std::size_t kMaxHeldMessages = 256;
 
 }  // namespace
 
@@ -52,7 +56,8 @@
       next_wire_id_(random_()),
       confirm_deadline_(now) {
   assert(settings_.heartbeat_interval < settings_.election_timeout);
-  assert(settings_.lease_drift_margin > 0 && settings_.lease_drift_margin < 1);
+  assert(settings_.heartbeat_interval * 4 <= settings_.voter_silence ||
+         settings_.voter_goal == 0);
   while (hard_.disk.value == 0) {
     hard_.disk.value = random_();
     hard_dirty_ = true;
@@ -63,6 +68,7 @@
            fmt::format("{} bytes", stored.repaired_bytes));
   }
   unsaved_ = {1};
+  identity_durable_ = !hard_dirty_;
   if (hard_.cluster.value == 0) return;
   role_ = consensus_role::kFollower;
   LoadLog(stored);
@@ -104,8 +110,11 @@
 
 void consensus_node::Handle(const consensus_input& input, time_point now) {
   assert(now >= now_);
-  // Silence of the others while this process stood still says nothing.
-  if (now - now_ > settings_.voter_silence / 4) attentive_since_ = now;
+  // Silence of others and disk while this process stood still says nothing.
+  if (now - now_ > 2 * settings_.heartbeat_interval) {
+    attentive_since_ = now;
+    if (writing_) writing_->since = now;
+  }
   now_ = now;
   std::visit([this](const auto& typed) { On(typed); }, input);
 }
@@ -123,6 +132,11 @@
         const bool cut_off =
             now_ - quorum_contact_ > 2 * settings_.election_timeout;
         if (cut_off) return StepDown("no quorum answers");
+        if (StorageStalls()) {
+          Report(event_id::kStorageStalled,
+                 fmt::format("{} ms", (now_ - writing_->since).count() / 1000));
+          return StepDown("its disk does not answer");
+        }
         ContinueVoterChanges();
       }
       return;
@@ -209,21 +223,59 @@
   snapshot_ = std::make_shared<const log_snapshot>(log_snapshot{
       input.index, *term, log_.ConfigurationAt(input.index), input.data});
   snapshot_dirty_ = true;
-  // A tail of the log stays for followers that lag a little.
-  const std::uint64_t kept = settings_.kept_entries;
-  if (input.index.value > log_.base().value + kept) {
-    log_.CompactThrough({input.index.value - kept});
+  const revision kept = KeptAfter(input.index);
+  if (kept > log_.base()) {
+    log_.CompactThrough(kept);
     compact_dirty_ = log_.base();
   }
   Report(event_id::kSnapshotTaken, fmt::format("{} bytes", input.data.size()));
 }
 
+// A tail of the log stays for followers that lag a little.
+revision consensus_node::KeptAfter(revision index) const {
+  revision kept = index;
+  std::size_t bytes = 0;
+  kept = std::min(kept, revision{unsaved_.value - 1});
+  while (kept > log_.base() &&
+         index.value - kept.value < settings_.kept_entries) {
+    bytes += EntryBytes(log_.At(kept));
+    if (bytes > settings_.kept_bytes) break;
+    kept = {kept.value - 1};
+  }
+  return kept;
+}
+
 void consensus_node::On(const batch_persisted& input) {
   if (role_ == consensus_role::kStopped) return;
-  synced_ = input.last_index;
+  if (!writing_ || writing_->number != input.number) return;
+  synced_ = writing_->last_index;
+  if (writing_->holds_identity) identity_durable_ = true;
+  writing_.reset();
   if (role_ == consensus_role::kLeader) AdvanceCommit();
 }
 
+// What the disk holds stays good, and the batch is tried again. Meanwhile
+// somebody else should lead.
+void consensus_node::On(const storage_refused& input) {
+  if (role_ == consensus_role::kStopped || !writing_) return;
+  if (!writing_->refused) {
+    Report(event_id::kStorageStalled, input.reason.reason, input.reason.code);
+  }
+  writing_->refused = true;
+  if (role_ == consensus_role::kLeader) StepDown("its disk refuses writes");
+}
+
+bool consensus_node::StorageStalls() const {
+  return writing_ && (writing_->refused ||
+                      now_ - writing_->since >= settings_.storage_patience);
+}
+
+// Entries after `after` are others than those on their way to the disk.
+void consensus_node::ForgetUnsynced(revision after) {
+  synced_ = std::min(synced_, after);
+  if (writing_) writing_->last_index = std::min(writing_->last_index, after);
+}
+
 void consensus_node::On(const storage_failed& input) {
   if (role_ == consensus_role::kStopped) return;
   FailPending();
@@ -231,6 +283,8 @@
   leader_.reset();
   now_messages_.clear();
   durable_messages_.clear();
+  behind_write_.clear();
+  writing_.reset();
   hard_dirty_ = snapshot_dirty_ = reset_dirty_ = founding_dirty_ = false;
   compact_dirty_.reset();
   restore_due_ = false;
@@ -332,14 +386,8 @@
     if (round_wanted_) StartRound();
     for (auto& [id, progress] : progress_) SendTo(id, &progress);
   }
-  // A leader's entries may leave before they are synced here, for its own copy
-  // counts only later; but nothing of a term or an identity may that is not on
-  // the disk.
-  if (!hard_dirty_) TakeMessages(&now_messages_, &actions);
-  TakeFounding(&actions);
-  TakeBatch(&actions);
-  TakeMessages(&now_messages_, &actions);
-  TakeMessages(&durable_messages_, &actions);
+  TakeImmediate(&actions);
+  TakeDurable(&actions);
   if (restore_due_) {
     restore_due_ = false;
     actions.emplace_back(restore_machine{snapshot_});
@@ -361,34 +409,81 @@
   messages->clear();
 }
 
+// A leader's entries may leave before they are synced here, for its own copy
+// counts only later; but nothing of a term or an identity may that is not on
+// the disk. Reads tell of neither term nor vote.
+void consensus_node::TakeImmediate(std::vector<consensus_action>* actions) {
+  const bool identity_moves =
+      hard_dirty_ || (writing_ && writing_->holds_identity);
+  if (!identity_moves) return TakeMessages(&now_messages_, actions);
+  if (!identity_durable_) return;
+  const auto reads = std::stable_partition(
+      now_messages_.begin(), now_messages_.end(),
+      [](const consensus_message& message) {
+        return !std::holds_alternative<read_request>(message.body) &&
+               !std::holds_alternative<read_reply>(message.body);
+      });
+  std::vector<consensus_message> free(
+      std::make_move_iterator(reads),
+      std::make_move_iterator(now_messages_.end()));
+  now_messages_.erase(reads, now_messages_.end());
+  TakeMessages(&free, actions);
+}
+
+// One batch is under way at a time; what comes up meanwhile is the next one.
+void consensus_node::TakeDurable(std::vector<consensus_action>* actions) {
+  if (!writing_) {
+    TakeMessages(&behind_write_, actions);
+    TakeFounding(actions);
+    if (!TakeBatch(actions)) {
+      TakeMessages(&now_messages_, actions);
+      return TakeMessages(&durable_messages_, actions);
+    }
+    behind_write_ = std::exchange(durable_messages_, {});
+    for (consensus_message& message : now_messages_) {
+      behind_write_.push_back(std::move(message));
+    }
+    now_messages_.clear();
+  }
+  for (auto* held : {&now_messages_, &durable_messages_}) {
+    if (held->size() <= kMaxHeldMessages) continue;
+    const auto over =
+        static_cast<std::ptrdiff_t>(held->size() - kMaxHeldMessages);
+    held->erase(held->begin(), held->begin() + over);
+  }
+}
+
 void consensus_node::TakeFounding(std::vector<consensus_action>* actions) {
   if (!founding_dirty_) return;
   founding_dirty_ = false;
   snapshot_dirty_ = false;
   storage_batch identity;
   identity.hard = hard_state{hard_.disk, {}, {}, {}};
-  actions->emplace_back(persist_batch{std::move(identity)});
+  actions->emplace_back(persist_batch{++batch_number_, std::move(identity)});
   storage_batch founding;
   founding.snapshot = snapshot_;
-  actions->emplace_back(persist_batch{std::move(founding)});
+  actions->emplace_back(persist_batch{++batch_number_, std::move(founding)});
 }
 
-void consensus_node::TakeBatch(std::vector<consensus_action>* actions) {
+// Whether a batch is under way from now on.
+bool consensus_node::TakeBatch(std::vector<consensus_action>* actions) {
   const bool entries_due = unsaved_ <= log_.last_index();
   const bool due = hard_dirty_ || snapshot_dirty_ || reset_dirty_ ||
                    compact_dirty_ || entries_due;
-  if (!due) return;
+  if (!due) return false;
   storage_batch batch;
   if (hard_dirty_) batch.hard = hard_;
   if (snapshot_dirty_ || reset_dirty_) batch.snapshot = snapshot_;
   batch.reset_log = reset_dirty_;
   batch.entries = log_.Slice(unsaved_, kNoLimit, kNoLimit);
   batch.compact_before = compact_dirty_;
-  batch.last_index = log_.last_index();
+  writing_ = write_under_way{++batch_number_, now_, hard_dirty_, false,
+                             log_.last_index()};
   hard_dirty_ = snapshot_dirty_ = reset_dirty_ = false;
   compact_dirty_.reset();
   unsaved_ = {log_.last_index().value + 1};
-  actions->emplace_back(persist_batch{std::move(batch)});
+  actions->emplace_back(persist_batch{batch_number_, std::move(batch)});
+  return true;
 }
 
 void consensus_node::TakeCommitted(std::vector<consensus_action>* actions) {
--- a/src/consensus/consensus_reads.cc
+++ b/src/consensus/consensus_reads.cc
@@ -1,6 +1,7 @@
-// Linearizable reads: under the leader's lease, after a round of confirmations,
-// or through another leader; and the confirmation that a started member has
-// caught up.
+// Linearizable reads: after a round of confirmations that began after the read
+// was asked, here or through another leader; and the confirmation that a
+// started member has caught up. No read rests on a clock: it stands still while
+// the VM is suspended.
 #include <algorithm>
 #include <cassert>
 #include <functional>
@@ -9,13 +10,6 @@
 
 namespace tamaracklatch {
 
-bool consensus_node::HoldsLease(time_point now) const {
-  if (role_ != consensus_role::kLeader || !lease_start_) return false;
-  const double span = static_cast<double>(settings_.election_timeout.count()) *
-                      (1.0 - settings_.lease_drift_margin);
-  return now < *lease_start_ + duration(static_cast<duration::rep>(span));
-}
-
 void consensus_node::On(const read_asked& input) {
   switch (role_) {
     case consensus_role::kStopped:
@@ -29,9 +23,6 @@
       if (!leader_) return AnswerRead(input.id, result_code::kNotLeader, {});
       return ForwardRead(input.id);
   }
-  if (HoldsLease(now_) && CommittedInOwnTerm()) {
-    return AnswerRead(input.id, result_code::kOk, commit_);
-  }
   reads_.push_back({input.id, std::nullopt, round_ + 1});
   round_wanted_ = true;
 }
@@ -40,9 +31,6 @@
   if (role_ != consensus_role::kLeader) {
     return SendNow(from, read_reply{body.id, false, {}});
   }
-  if (HoldsLease(now_) && CommittedInOwnTerm()) {
-    return SendNow(from, read_reply{body.id, true, commit_});
-  }
   reads_.push_back({body.id, from, round_ + 1});
   round_wanted_ = true;
 }
@@ -82,7 +70,6 @@
   if (*place <= quorum_round_) return;
   quorum_round_ = *place;
   while (rounds_.front().number < quorum_round_) rounds_.pop_front();
-  lease_start_ = rounds_.front().started;
   quorum_contact_ = rounds_.front().started;
   AnswerReads();
 }
--- a/src/consensus/consensus_replication.cc
+++ b/src/consensus/consensus_replication.cc
@@ -49,7 +49,7 @@
     if (known) {
       log_.TruncateFrom(entry.index);
       unsaved_ = std::min(unsaved_, entry.index);
-      synced_ = std::min(synced_, log_.last_index());
+      ForgetUnsynced(log_.last_index());
     }
     log_.Append(entry);
   }
@@ -90,7 +90,7 @@
     log_.Reset(index, snapshot.term, snapshot.configuration);
     reset_dirty_ = true;
     unsaved_ = {index.value + 1};
-    synced_ = index;
+    ForgetUnsynced(index);
   }
   snapshot_ = std::make_shared<const log_snapshot>(std::move(snapshot));
   snapshot_dirty_ = true;
--- a/src/consensus/consensus_runner.cc
+++ b/src/consensus/consensus_runner.cc
@@ -1,31 +1,42 @@
 // Carries out the actions of a consensus_node, in their order.
 #include "tamaracklatch/consensus/consensus_runner.h"
 
+#include <algorithm>
 #include <cassert>
 #include <utility>
 
 namespace tamaracklatch {
+namespace {
+
+// Between two tries of a batch that the disk refused.
+constexpr std::chrono::milliseconds kRetryInterval{200};
+
+}  // namespace
 
 std::unique_ptr<consensus_runner> consensus_runner::Start(
     const consensus_settings& settings, log_storage* storage,
     replicated_state_machine* machine, consensus_listener* listener,
-    random_source random, time_point now, failure* last_failure) {
+    random_source random, time_point now, failure* last_failure,
+    batch_writer* writer) {
   assert(storage != nullptr && machine != nullptr && listener != nullptr);
   auto stored = storage->Load(last_failure);
   if (!stored) return nullptr;
-  return std::unique_ptr<consensus_runner>(new consensus_runner(
-      settings, std::move(*stored), storage, machine, listener, random, now));
+  return std::unique_ptr<consensus_runner>(
+      new consensus_runner(settings, std::move(*stored), storage, machine,
+                           listener, random, now, writer));
 }
 
 consensus_runner::consensus_runner(const consensus_settings& settings,
                                    stored_state stored, log_storage* storage,
                                    replicated_state_machine* machine,
                                    consensus_listener* listener,
-                                   random_source random, time_point now)
+                                   random_source random, time_point now,
+                                   batch_writer* writer)
     : node_(settings, std::move(stored), random, now),
       storage_(storage),
       machine_(machine),
-      listener_(listener) {}
+      listener_(listener),
+      writer_(writer) {}
 
 void consensus_runner::Handle(const consensus_input& input, time_point now) {
   node_.Handle(input, now);
@@ -34,7 +45,7 @@
 void consensus_runner::Flush(time_point now) {
   while (true) {
     const std::vector<consensus_action> actions = node_.TakeActions(now);
-    if (actions.empty()) return;
+    if (actions.empty() && !MayWrite(now)) return;
     for (const consensus_action& action : actions) {
       const bool go_on =
           std::visit([&](const auto& typed) { return Do(typed, now); }, action);
@@ -43,9 +54,43 @@
         break;
       }
     }
+    WriteBatches(now);
+  }
+}
+
+time_point consensus_runner::NextDeadline() const {
+  const time_point next = node_.NextDeadline();
+  return retry_ ? std::min(next, *retry_) : next;
+}
+
+bool consensus_runner::MayWrite(time_point now) const {
+  return !unwritten_.empty() && !writing_ && (!retry_ || now >= *retry_);
+}
+
+void consensus_runner::WriteBatches(time_point now) {
+  while (MayWrite(now)) {
+    writing_ = true;
+    retry_.reset();
+    if (writer_ != nullptr) return writer_->Write(unwritten_.front().batch);
+    failure reason;
+    const bool written = storage_->Persist(unwritten_.front().batch, &reason);
+    OnWritten(written ? std::nullopt : std::make_optional(reason), now);
   }
 }
 
+void consensus_runner::OnWritten(const std::optional<failure>& refused,
+                                 time_point now) {
+  assert(writing_);
+  writing_ = false;
+  if (refused) {
+    retry_ = now + kRetryInterval;
+    return node_.Handle(storage_refused{*refused}, now);
+  }
+  const std::uint64_t number = unwritten_.front().number;
+  unwritten_.pop_front();
+  node_.Handle(batch_persisted{number}, now);
+}
+
 void consensus_runner::AnswerDropped(
     const std::vector<consensus_action>& actions,
     const consensus_action* failed) {
@@ -67,14 +112,9 @@
   return true;
 }
 
-bool consensus_runner::Do(const persist_batch& action, time_point now) {
-  failure reason;
-  if (storage_->Persist(action.batch, &reason)) {
-    node_.Handle(batch_persisted{action.batch.last_index}, now);
-    return true;
-  }
-  node_.Handle(storage_failed{reason}, now);
-  return false;
+bool consensus_runner::Do(const persist_batch& action, time_point /*now*/) {
+  unwritten_.push_back(action);
+  return true;
 }
 
 bool consensus_runner::Do(const restore_machine& action, time_point now) {
--- a/src/consensus/file_log_storage.cc
+++ b/src/consensus/file_log_storage.cc
@@ -90,6 +90,11 @@
   return true;
 }
 
+// A file that is gone already was removed by a try that failed later.
+bool Remove(const std::string& path) {
+  return unlink(path.c_str()) == 0 || errno == ENOENT;
+}
+
 std::string NumberedName(const char* prefix, std::uint64_t number) {
   return fmt::format("{}{:020}", prefix, number);
 }
@@ -106,18 +111,26 @@
   return number;
 }
 
-std::vector<std::uint64_t> NumbersIn(const std::string& folder,
-                                     std::string_view prefix) {
-  std::vector<std::uint64_t> numbers;
+std::vector<std::string> NamesIn(const std::string& folder) {
+  std::vector<std::string> names;
   DIR* entries = opendir(folder.c_str());
-  if (entries == nullptr) return numbers;
+  if (entries == nullptr) return names;
   // The stream is not shared between threads.
   for (const dirent* entry = readdir(entries); entry != nullptr;  // NOLINT
        entry = readdir(entries)) {                                // NOLINT
-    const auto number = NumberOf(entry->d_name, prefix);
-    if (number) numbers.push_back(*number);
+    names.emplace_back(entry->d_name);
   }
   closedir(entries);
+  return names;
+}
+
+std::vector<std::uint64_t> NumbersIn(const std::string& folder,
+                                     std::string_view prefix) {
+  std::vector<std::uint64_t> numbers;
+  for (const std::string& name : NamesIn(folder)) {
+    const auto number = NumberOf(name, prefix);
+    if (number) numbers.push_back(*number);
+  }
   std::sort(numbers.begin(), numbers.end());
   return numbers;
 }
@@ -239,13 +252,14 @@
 
 std::optional<stored_state> file_log_storage::Load(failure* last_failure) {
   assert(folder_ < 0);
-  failed_ = true;  // until all is read
   stored_state state;
-  const bool read =
-      LockFolder(last_failure) && LoadHardState(&state, last_failure) &&
-      LoadSnapshot(&state, last_failure) && LoadSegments(&state, last_failure);
+  const bool read = LockFolder(last_failure) &&
+                    LoadHardState(&state, last_failure) &&
+                    LoadSnapshot(&state, last_failure) &&
+                    LoadSegments(&state, last_failure) &&
+                    RemoveTemporary(last_failure) && SyncFolder(last_failure);
   if (!read) return std::nullopt;
-  failed_ = false;
+  loaded_ = true;
   return state;
 }
 
@@ -342,8 +356,13 @@
   if (sequences.empty()) return true;
   const std::string path = PathOf(NumberedName(kSegmentPrefix, last));
   log_ = open(path.c_str(), O_WRONLY | O_APPEND | O_CLOEXEC);
-  if (log_ >= 0) return true;
-  return Fail(last_failure, result_code::kStorageUnreadable, path, errno);
+  if (log_ < 0) {
+    return Fail(last_failure, result_code::kStorageUnreadable, path, errno);
+  }
+  // A process that was killed may have written what it never synced.
+  if (fsync(log_) != 0) return FailWrite(last_failure, path, errno);
+  ++counts_.file_syncs;
+  return true;
 }
 
 bool file_log_storage::LoadSegment(std::uint64_t first_sequence, bool last,
@@ -388,6 +407,21 @@
   return true;
 }
 
+// A write that was cut off leaves its temporary file.
+bool file_log_storage::RemoveTemporary(failure* last_failure) {
+  const std::string_view suffix = kTemporarySuffix;
+  for (const std::string& name : NamesIn(settings_.folder)) {
+    const bool temporary =
+        name.size() > suffix.size() &&
+        name.compare(name.size() - suffix.size(), suffix.size(), suffix) == 0;
+    if (!temporary) continue;
+    if (!Remove(PathOf(name))) {
+      return FailWrite(last_failure, PathOf(name), errno);
+    }
+  }
+  return true;
+}
+
 bool file_log_storage::RepairTail(const std::string& path,
                                   std::uint64_t good_bytes,
                                   failure* last_failure) {
@@ -402,8 +436,7 @@
 
 bool file_log_storage::Persist(const storage_batch& batch,
                                failure* last_failure) {
-  assert(folder_ >= 0 && !failed_);
-  failed_ = true;  // until all is durable
+  assert(loaded_);
   if (batch.hard) {
     hard_ = *batch.hard;
     if (!WriteHardState(last_failure)) return false;
@@ -425,7 +458,6 @@
       !DropSegments(*batch.compact_before, last_failure)) {
     return false;
   }
-  failed_ = false;
   return true;
 }
 
@@ -444,7 +476,11 @@
         temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600));
     const bool written =
         file.ok() && WriteAll(file.get(), bytes) && fsync(file.get()) == 0;
-    if (!written) return FailWrite(last_failure, temporary, errno);
+    if (!written) {
+      FailWrite(last_failure, temporary, errno);
+      unlink(temporary.c_str());  // it may be what fills the disk
+      return false;
+    }
   }
   ++counts_.file_syncs;
   counts_.bytes_written += bytes.size();
@@ -463,18 +499,28 @@
 }
 
 bool file_log_storage::OpenSegment(failure* last_failure) {
-  if (log_ >= 0) close(log_);
   const std::string path = PathOf(NumberedName(kSegmentPrefix, next_sequence_));
-  log_ = open(path.c_str(), O_WRONLY | O_CREAT | O_EXCL | O_APPEND | O_CLOEXEC,
-              0600);
-  if (log_ < 0 || fsync(log_) != 0) {
-    return FailWrite(last_failure, path, errno);
+  // One of this name is left by a try that failed, and holds nothing.
+  const int opened = open(
+      path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0600);
+  if (opened < 0) return FailWrite(last_failure, path, errno);
+  if (fsync(opened) != 0) {
+    FailWrite(last_failure, path, errno);
+    close(opened);
+    return false;
   }
   ++counts_.file_syncs;
-  segments_.push_back({next_sequence_, {}, 0});
-  newest_segment_ = next_sequence_;
+  const std::uint64_t before = std::exchange(newest_segment_, next_sequence_);
   // Also syncs the folder. From now on a start misses the segment.
-  return WriteHardState(last_failure);
+  if (!WriteHardState(last_failure)) {
+    newest_segment_ = before;
+    close(opened);
+    return false;
+  }
+  if (log_ >= 0) close(log_);
+  log_ = opened;
+  segments_.push_back({next_sequence_, {}, 0});
+  return true;
 }
 
 bool file_log_storage::AppendFrame(const storage_batch& batch,
@@ -484,9 +530,15 @@
   if (full && !OpenSegment(last_failure)) return false;
   const std::string bytes =
       EncodeFrame({next_sequence_, batch.reset_log, batch.entries}, hard_.disk);
-  if (!WriteAll(log_, bytes) || fdatasync(log_) != 0) {
+  // After a failed try the frame is written again from its beginning: what a
+  // failed sync left of it counts for nothing.
+  const auto good = static_cast<off_t>(segments_.back().bytes);
+  const bool repaired = !torn_ || ftruncate(log_, good) == 0;
+  torn_ = true;
+  if (!repaired || !WriteAll(log_, bytes) || fdatasync(log_) != 0) {
     return FailWrite(last_failure, settings_.folder, errno);
   }
+  torn_ = false;
   ++counts_.file_syncs;
   counts_.bytes_written += bytes.size();
   ++next_sequence_;
@@ -507,7 +559,7 @@
   while (segments_.size() > 1 && segments_.front().highest < before) {
     const std::string path =
         PathOf(NumberedName(kSegmentPrefix, segments_.front().first_sequence));
-    if (unlink(path.c_str()) != 0) return FailWrite(last_failure, path, errno);
+    if (!Remove(path)) return FailWrite(last_failure, path, errno);
     if (!SyncFolder(last_failure)) return false;
     segments_.pop_front();
   }
@@ -520,7 +572,7 @@
        NumbersIn(settings_.folder, kSnapshotPrefix)) {
     if (index >= newest.value) continue;
     const std::string path = PathOf(NumberedName(kSnapshotPrefix, index));
-    if (unlink(path.c_str()) != 0) return FailWrite(last_failure, path, errno);
+    if (!Remove(path)) return FailWrite(last_failure, path, errno);
   }
   return true;
 }
--- a/tests/consensus/consensus_node_test.cc
+++ b/tests/consensus/consensus_node_test.cc
@@ -90,7 +90,7 @@
         if (const auto* send = std::get_if<send_message>(&action)) {
           sent.push_back(send->message);
         } else if (const auto* persist = std::get_if<persist_batch>(&action)) {
-          node.Handle(batch_persisted{persist->batch.last_index}, now);
+          if (disk_answers) node.Handle(batch_persisted{persist->number}, now);
         } else if (const auto* report = std::get_if<report_event>(&action)) {
           events.push_back(report->what);
         } else if (const auto* answer =
@@ -133,6 +133,7 @@
   }
 
   time_point now;
+  bool disk_answers = true;
   consensus_node node;
   std::vector<consensus_message> sent;
   std::vector<event> events;
--- a/tests/consensus/fake_log_storage.h
+++ b/tests/consensus/fake_log_storage.h
@@ -9,9 +9,6 @@
 
 namespace tamaracklatch::test {
 
-// What the next Persist() does.
-enum class disk_fault { kNone, kCrash, kFull };
-
 // Survives the VM's restarts; a lost disk is a new one of these.
 struct fake_disk {
   stored_state durable;
@@ -26,13 +23,13 @@
     return disk_->durable;
   }
 
-  // With a fault, a random part of the batch, from its beginning, reaches the
-  // disk.
-  bool Persist(const storage_batch& batch, failure* last_failure) override {
-    if (fault_ == disk_fault::kNone) {
-      Write(batch, batch.entries.size());
-      return true;
-    }
+  bool Persist(const storage_batch& batch, failure* /*last_failure*/) override {
+    Write(batch, batch.entries.size());
+    return true;
+  }
+
+  // A random part of the batch, from its beginning, reaches the disk.
+  void PersistPart(const storage_batch& batch) {
     const std::uint64_t steps = (*random_)() % (3 + batch.entries.size());
     storage_batch part;
     if (steps > 0) part.hard = batch.hard;
@@ -40,15 +37,8 @@
     if (steps > 2) part.reset_log = batch.reset_log;
     part.entries = batch.entries;
     Write(part, steps > 2 ? steps - 2 : 0);
-    crashed_ = fault_ == disk_fault::kCrash;
-    fault_ = disk_fault::kNone;
-    SetFailure(last_failure, result_code::kDiskFull, "no room");
-    return false;
   }
 
-  void SetFault(disk_fault fault) { fault_ = fault; }
-  bool crashed() const { return crashed_; }
-
  private:
   void Write(const storage_batch& batch, std::size_t entry_count) {
     stored_state& durable = disk_->durable;
@@ -76,8 +66,6 @@
 
   fake_disk* disk_;
   random_source* random_;
-  disk_fault fault_ = disk_fault::kNone;
-  bool crashed_ = false;
 };
 
 }  // namespace tamaracklatch::test
--- a/tests/consensus/schedule_test.cc
+++ b/tests/consensus/schedule_test.cc
@@ -65,6 +65,26 @@
             static_cast<unsigned long long>(acknowledged));
 }
 
+void CheckExchanges(std::size_t voters, std::uint64_t seeds) {
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    schedule_world world(seed, voters, true);
+    const std::string broken = world.RunExchange();
+    if (broken.empty()) continue;
+    for (const std::string& line : world.timeline()) {
+      fmt::print(stderr, "{}\n", line);
+    }
+    cr_assert(false, "exchange %llu of %zu voters: %s",
+              static_cast<unsigned long long>(seed), voters, broken.c_str());
+  }
+}
+
+Test(schedules, a_newcomer_takes_the_place_of_one_of_three) {
+  CheckExchanges(3, 100);
+}
+Test(schedules, a_newcomer_takes_the_place_of_one_of_five) {
+  CheckExchanges(5, 100);
+}
+
 Test(schedules, part_0) { RunPart(0); }
 Test(schedules, part_1) { RunPart(1); }
 Test(schedules, part_2) { RunPart(2); }
--- a/tests/consensus/schedule_world.cc
+++ b/tests/consensus/schedule_world.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cstring>
+#include <utility>
 
 #include "tamaracklatch/core/hash.h"
 
@@ -17,6 +18,12 @@
 constexpr std::size_t kVmsBesideVoters = 2;  // to be added and removed
 constexpr duration kFastest = milliseconds(2);
 constexpr seconds kEndBound{240};  // for all VMs to agree once all is healed
+constexpr std::size_t kMostVms = 16;
+constexpr duration kFastestSync = std::chrono::microseconds(500);
+constexpr duration kSlowestSync = milliseconds(2);
+constexpr int kFaultySync = 28;     // times as slow
+constexpr seconds kVoteBound{4};    // from a newcomer's start to its vote
+constexpr seconds kLeaderBound{3};  // from the kill of all to a leader
 constexpr std::uint64_t kLateVotePercent = 50;
 constexpr std::uint64_t kReadId = std::uint64_t{1} << 62U;
 
@@ -66,7 +73,8 @@
 // --- VMs and happenings ---
 
 // One VM: its disk, and while it is up its runner.
-struct schedule_world::vm final : public consensus_listener {
+struct schedule_world::vm final : public consensus_listener,
+                                  public batch_writer {
   vm(schedule_world* in, std::size_t number, vm_name called)
       : world(in), index(number), name(std::move(called)) {}
 
@@ -111,6 +119,10 @@
     }
   }
 
+  void Write(const storage_batch& batch) override {
+    world->WriteToDisk(index, batch);
+  }
+
   void OnEvent(const event& what) override {
     if (!world->traced_) return;
     world->Trace(fmt::format("{} {} {} {} {}", name, ToString(what.id),
@@ -122,7 +134,15 @@
   vm_name name;
   double rate = 1.0;  // of its clock
   duration offset{};  // of its clock
+  std::vector<vm_name> seeds;
+  bool founds = false;
+  bool gone = false;  // for good
   fake_disk disk;
+  const storage_batch* writing = nullptr;  // on its way to the disk
+  time_point disk_hangs_until;
+  bool disk_slow = false;
+  bool disk_full = false;
+  bool crashes_in_write = false;  // the next one
   random_source disk_random;
   std::unique_ptr<fake_log_storage> storage;
   std::unique_ptr<recorded_machine> machine;
@@ -132,6 +152,7 @@
   bool voted = false;       // for another, by the input at hand
   bool stood = false;       // for election, by the input at hand
   time_point paused_until;  // it is up, but its process does not run
+  duration suspended{};     // its clock stands still for so long in that pause
   // What a VM that is down had.
   member_id last_self;
   voter_configuration last_configuration;
@@ -140,7 +161,18 @@
 };
 
 struct schedule_world::happening {
-  enum class kind { kMessage, kWake, kStart, kClient, kFault, kUncut };
+  enum class kind {
+    kMessage,
+    kWake,
+    kDisk,
+    kStart,
+    kCrash,
+    kResume,
+    kTold,
+    kClient,
+    kFault,
+    kUncut
+  };
   kind what = kind::kWake;
   std::size_t to = 0;
   std::size_t from = 0;
@@ -186,18 +218,38 @@
     loss_percent_ = 0;
   }
   end_of_faults_ = now_ + DrawBetween(seconds(20), seconds(60));
+  heals_ = Chance(60);
+  if (heals_) {
+    settings_.voter_goal = voters;
+    settings_.voter_silence = DrawBetween(settings_.election_timeout,
+                                          3 * settings_.election_timeout) +
+                              settings_.heartbeat_interval;
+    settings_.learner_silence = DrawBetween(seconds(5), seconds(30));
+  }
+  std::vector<vm_name> all;
   for (std::size_t i = 0; i < voters + kVmsBesideVoters; ++i) {
-    const vm_name name(1, static_cast<char>('a' + i));
-    if (i < voters) settings_.founders.push_back(name);
-    settings_.peers.push_back(name);
-    vms_.push_back(std::make_unique<vm>(this, i, name));
-    // Two clocks differ in rate by less than the lease's margin.
-    vms_[i]->rate = 1.0 + (static_cast<double>(Draw(81)) - 40.0) / 1000.0;
-    vms_[i]->offset = duration(Draw(1000000));
-    vms_[i]->disk_random.seed(random_());
+    all.emplace_back(1, static_cast<char>('a' + i));
+    if (i < voters) settings_.founders.push_back(all.back());
+  }
+  for (std::size_t i = 0; i < all.size(); ++i) {
+    AddVm(heals_ ? settings_.founders : all, i < voters || !heals_);
   }
 }
 
+std::size_t schedule_world::AddVm(std::vector<vm_name> seeds, bool founds) {
+  const std::size_t i = vms_.size();
+  vms_.push_back(
+      std::make_unique<vm>(this, i, vm_name(1, static_cast<char>('a' + i))));
+  vm& one = *vms_.back();
+  one.seeds = std::move(seeds);
+  one.founds = founds;
+  // Two clocks differ in rate.
+  one.rate = 1.0 + (static_cast<double>(Draw(81)) - 40.0) / 1000.0;
+  one.offset = duration(Draw(1000000));
+  one.disk_random.seed(random_());
+  return i;
+}
+
 std::uint64_t schedule_world::Draw(std::uint64_t below) {
   return random_() % below;
 }
@@ -255,7 +307,10 @@
     CheckVote(message.from, given->term, message.to);
   }
   const std::size_t to = static_cast<std::size_t>(message.to.name[0] - 'a');
-  if (cut_.count({from, to}) != 0 || Chance(loss_percent_)) return;
+  if (to >= vms_.size() || cut_.count({from, to}) != 0 ||
+      Chance(loss_percent_)) {
+    return;
+  }
   const int copies = Chance(repeat_percent_) ? 2 : 1;
   auto shared = std::make_shared<consensus_message>(message);
   for (int i = 0; i < copies; ++i) {
@@ -289,7 +344,6 @@
 void schedule_world::Settle(std::size_t index) {
   vm& one = *vms_[index];
   one.runner->Flush(LocalTime(one));
-  if (one.storage->crashed()) return Crash(index);
   CheckPromises(index);
   if (one.runner->node().role() == consensus_role::kStopped) {
     return Crash(index);
@@ -300,6 +354,39 @@
   if (acknowledged_now_) AskOldLeaders();
 }
 
+void schedule_world::WriteToDisk(std::size_t index,
+                                 const storage_batch& batch) {
+  vm& one = *vms_[index];
+  one.writing = &batch;
+  duration takes = DrawBetween(kFastestSync, kSlowestSync);
+  if (one.disk_slow) takes *= kFaultySync;
+  takes += std::max(one.disk_hangs_until - now_, duration{});
+  happening what;
+  what.to = index;
+  what.life = one.life;
+  if (one.crashes_in_write) {
+    one.crashes_in_write = false;
+    what.what = happening::kind::kCrash;
+    Push(now_ + DrawBetween({}, takes), what);
+  }
+  what.what = happening::kind::kDisk;
+  Push(now_ + takes, std::move(what));
+}
+
+void schedule_world::FinishWrite(std::size_t index) {
+  vm& one = *vms_[index];
+  const storage_batch& batch = *std::exchange(one.writing, nullptr);
+  if (one.disk_full) {
+    one.storage->PersistPart(batch);
+    one.runner->OnWritten(failure{result_code::kDiskFull, "no room"},
+                          LocalTime(one));
+  } else {
+    one.storage->Persist(batch, nullptr);
+    one.runner->OnWritten(std::nullopt, LocalTime(one));
+  }
+  Settle(index);
+}
+
 // A crash between a vote and all that comes after it.
 void schedule_world::CrashAfterVote(std::size_t index) {
   vm& one = *vms_[index];
@@ -313,9 +400,81 @@
 
 void schedule_world::Pause(std::size_t index) {
   vm& one = *vms_[index];
-  one.paused_until =
-      now_ + DrawBetween(milliseconds(100), 4 * settings_.election_timeout);
-  Trace(one.name + " is paused");
+  if (!one.runner || now_ < one.paused_until) return;
+  const duration lasts =
+      DrawBetween(milliseconds(100), 4 * settings_.election_timeout);
+  one.paused_until = now_ + lasts;
+  if (Chance(50)) one.suspended = lasts;
+  Trace(fmt::format("{} is {}", one.name,
+                    one.suspended > duration{} ? "suspended" : "paused"));
+  happening what;
+  what.what = happening::kind::kResume;
+  what.to = index;
+  Push(one.paused_until, std::move(what));
+}
+
+// The clock of a suspended VM stood still.
+void schedule_world::Resume(std::size_t index) {
+  vm& one = *vms_[index];
+  const double stood = static_cast<double>(one.suspended.count()) * one.rate;
+  // Never back, by rounding either.
+  one.offset -= duration(static_cast<duration::rep>(stood) - 2);
+  one.suspended = {};
+  one.woken.reset();
+  if (one.runner) Wake(index);
+}
+
+bool schedule_world::IsUp(std::size_t index) const {
+  const vm& one = *vms_[index];
+  return one.runner != nullptr && one.suspended == duration{};
+}
+
+void schedule_world::CrashAll() {
+  Trace("all crash");
+  for (std::size_t i = 0; i < vms_.size(); ++i) Crash(i);
+}
+
+void schedule_world::HarmDisk(std::size_t index) {
+  vm& one = *vms_[index];
+  switch (Draw(3)) {
+    case 0:
+      one.disk_full = !one.disk_full;
+      return Trace(one.name + (one.disk_full ? " has no room" : " has room"));
+    case 1:
+      one.disk_slow = !one.disk_slow;
+      return Trace(one.name + (one.disk_slow ? " is slow" : " is fast"));
+    default:
+      one.disk_hangs_until = now_ + DrawBetween(milliseconds(200), seconds(8));
+      return Trace(one.name + " has a disk that hangs");
+  }
+}
+
+// A VM is gone for good, and another one comes, whose seeds may name VMs that
+// are gone.
+std::size_t schedule_world::Exchange(std::size_t index) {
+  LoseDisk(index);
+  vms_[index]->gone = true;
+  std::vector<vm_name> seeds;
+  while (seeds.size() < 3) seeds.push_back(vms_[PickVm()]->name);
+  const std::size_t added = AddVm(std::move(seeds), false);
+  Trace(fmt::format("{} is gone, {} comes", vms_[index]->name,
+                    vms_[added]->name));
+  happening what;
+  what.what = happening::kind::kStart;
+  what.to = added;
+  Push(now_ + DrawBetween(milliseconds(10), seconds(3)), what);
+  what.what = happening::kind::kTold;
+  Push(now_ + DrawBetween(seconds(1), seconds(6)), what);
+  return added;
+}
+
+// What a VM hears from others than the seeds.
+void schedule_world::TellOfAll(std::size_t index) {
+  peers_learned known;
+  for (const auto& one : vms_) {
+    if (!one->gone) known.names.push_back(one->name);
+  }
+  if (IsUp(index)) Input(index, known);
 }
 
 // Whoever still believes that it leads is asked for what was just accepted.
@@ -326,7 +485,7 @@
     if (!runner || runner->node().role() != consensus_role::kLeader) continue;
     if (Leader() == i) continue;
     Read(i);
-    Settle(i);
+    if (IsUp(i)) Settle(i);
   }
 }
 
@@ -344,6 +503,14 @@
   Push(when, std::move(what));
 }
 
+// A tick does what is due: the next one lies ahead.
+void schedule_world::CheckWake(std::size_t index) {
+  const vm& one = *vms_[index];
+  if (!one.runner) return;
+  const bool ahead = one.runner->NextDeadline() > LocalTime(one);
+  if (!ahead) book_.Break(fmt::format("{} has a wake-up that lies behind by {}", one.name, (LocalTime(one)-one.runner->NextDeadline()).count()));
+}
+
 void schedule_world::CheckPromises(std::size_t index) {
   vm& one = *vms_[index];
   const consensus_node& node = one.runner->node();
@@ -370,15 +537,17 @@
 
 void schedule_world::Start(std::size_t index) {
   vm& one = *vms_[index];
-  if (one.runner) return;
+  if (one.runner || one.gone) return;
   Trace(one.name + " starts");
   consensus_settings settings = settings_;
   settings.name = one.name;
+  settings.peers = one.seeds;
+  if (!one.founds) settings.founders.clear();
   one.storage = std::make_unique<fake_log_storage>(&one.disk, &one.disk_random);
   one.machine = std::make_unique<recorded_machine>(&book_, padding_);
   one.runner = consensus_runner::Start(
       settings, one.storage.get(), one.machine.get(), &one,
-      random_source(random_()), LocalTime(one), nullptr);
+      random_source(random_()), LocalTime(one), nullptr, &one);
   ++one.life;
   one.woken.reset();
   Settle(index);
@@ -393,6 +562,9 @@
   one.last_configuration = node.log().configuration();
   one.last_configuration_index = node.log().configuration_index();
   one.last_commit = node.commit();
+  if (one.writing != nullptr) one.storage->PersistPart(*one.writing);
+  one.writing = nullptr;
+  one.suspended = {};
   one.runner.reset();
   happening what;
   what.what = happening::kind::kStart;
@@ -454,7 +626,10 @@
     for (const voter_configuration* counted : both) {
       std::size_t left = 0;
       for (const cluster_member& voter : counted->voters) {
-        if (voter.id != lost_id && IsAlive(voter.id)) ++left;
+        // The founding may still be on its way to the disk.
+        const auto at = static_cast<std::size_t>(voter.id.name[0] - 'a');
+        const bool joined = vms_[at]->disk.durable.hard.cluster.value != 0;
+        if (voter.id != lost_id && joined && IsAlive(voter.id)) ++left;
       }
       if (left < counted->Quorum()) return false;
     }
@@ -510,7 +685,7 @@
 // --- Clients ---
 
 void schedule_world::Propose(std::size_t index) {
-  if (!vms_[index]->runner) return;
+  if (!IsUp(index)) return;
   const std::uint64_t id = next_id_++;
   const std::string command = fmt::format("{}{:{}}", id, "", 1 + Draw(40));
   proposed_[id] = HashText(command);
@@ -520,7 +695,7 @@
 
 void schedule_world::Read(std::size_t index) {
   vm& one = *vms_[index];
-  if (!one.runner) return;
+  if (!IsUp(index)) return;
   const std::uint64_t id = kReadId + next_id_++;
   asked_[id] = book_.acknowledged;
   one.runner->Handle(read_asked{id}, LocalTime(one));
@@ -530,10 +705,10 @@
   const std::size_t index = Chance(80) ? Leader().value_or(PickVm()) : PickVm();
   const std::uint64_t batch = Chance(20) ? 1 + Draw(8) : 1;
   for (std::uint64_t i = 0; i < batch; ++i) Propose(index);
-  if (vms_[index]->runner) Settle(index);
+  if (IsUp(index)) Settle(index);
   const std::size_t reader = PickVm();
   Read(reader);
-  if (vms_[reader]->runner) Settle(reader);
+  if (IsUp(reader)) Settle(reader);
 }
 
 // --- Faults ---
@@ -541,10 +716,18 @@
 void schedule_world::FaultStep() {
   const std::size_t index = Chance(40) ? Leader().value_or(PickVm()) : PickVm();
   vm& one = *vms_[index];
-  if (kind_ == schedule_kind::kChurn && Chance(60)) return ChangeVoters();
+  if (kind_ == schedule_kind::kChurn && !heals_ && Chance(60)) {
+    return ChangeVoters();
+  }
   if (kind_ == schedule_kind::kStale && Chance(60)) {
     return Chance(30) ? Cut() : Crash(PickVm());
   }
+  if (Chance(3)) return CrashAll();
+  if (heals_ && Chance(20)) {
+    const bool may = vms_.size() < kMostVms && !one.gone && MayLoseDisk(index);
+    if (may) Exchange(index);
+    return;
+  }
   switch (Draw(9)) {
     case 8:
       return Pause(index);
@@ -552,16 +735,15 @@
       return Crash(index);
     case 1:
     case 2:
-      if (one.runner) one.storage->SetFault(disk_fault::kCrash);
+      one.crashes_in_write = true;
       return;
     case 3:
-      if (one.runner) one.storage->SetFault(disk_fault::kFull);
-      return;
+      return HarmDisk(index);
     case 4:
       if (MayLoseDisk(index)) LoseDisk(index);
       return;
     case 5:
-      return ChangeVoters();
+      return heals_ ? Crash(index) : ChangeVoters();
     default:
       return Cut();
   }
@@ -595,7 +777,7 @@
 
 void schedule_world::ChangeVoters() {
   const auto leader = Leader();
-  if (!leader) return;
+  if (!leader || !IsUp(*leader)) return;
   vm& one = *vms_[*leader];
   const std::uint64_t id = next_id_++;
   proposed_[id] = 0;
@@ -628,10 +810,11 @@
 
 void schedule_world::Happen(const happening& what) {
   using kind = happening::kind;
-  const bool for_process =
-      what.what == kind::kMessage || what.what == kind::kWake;
+  const bool for_process = what.what == kind::kMessage ||
+                           what.what == kind::kWake || what.what == kind::kDisk;
   const time_point paused_until = vms_[what.to]->paused_until;
-  if (for_process && now_ < paused_until) {
+  const bool suspended = vms_[what.to]->suspended > duration{};
+  if (for_process && (now_ < paused_until || suspended)) {
     // What waits for the process comes in any order.
     return Push(paused_until + DrawBetween({}, milliseconds(1)), what);
   }
@@ -641,7 +824,21 @@
     case kind::kWake:
       if (vms_[what.to]->life != what.life) return;
       if (vms_[what.to]->woken <= what.when) vms_[what.to]->woken.reset();
-      return Input(what.to, timer_due{});
+      Input(what.to, timer_due{});
+      return CheckWake(what.to);
+    case kind::kDisk:
+      if (vms_[what.to]->life == what.life && vms_[what.to]->runner) {
+        FinishWrite(what.to);
+      }
+      return;
+    case kind::kCrash:
+      if (vms_[what.to]->life == what.life) Crash(what.to);
+      return;
+    case kind::kResume:
+      if (now_ >= vms_[what.to]->paused_until) Resume(what.to);
+      return;
+    case kind::kTold:
+      return TellOfAll(what.to);
     case kind::kStart:
       return Start(what.to);
     case kind::kUncut:
@@ -675,8 +872,11 @@
   slowest_ = std::min(slowest_, settings_.election_timeout / 6);
   late_percent_ = 0;
   for (std::size_t i = 0; i < vms_.size(); ++i) {
-    if (vms_[i]->runner) vms_[i]->storage->SetFault(disk_fault::kNone);
+    vms_[i]->disk_full = vms_[i]->disk_slow = false;
+    vms_[i]->crashes_in_write = false;
+    vms_[i]->disk_hangs_until = now_;
     Start(i);
+    TellOfAll(i);
   }
 }
 
@@ -691,7 +891,7 @@
     now_ = std::max(now_, what.when);
     Happen(what);
     const auto leader = Leader();
-    if (!leader) continue;
+    if (!leader || !IsUp(*leader)) continue;
     const vm& lead = *vms_[*leader];
     const bool answered = last && proposed_.count(*last) == 0;
     if (answered && goal.value == 0) {
@@ -716,7 +916,8 @@
                  one.runner->node().confirmed() &&
                  one.runner->node().applied() >= goal;
         });
-    if (all) return;
+    const bool enough = !heals_ || voters.size() == voters_;
+    if (all && enough) return;
   }
   if (book_.broken.empty()) {
     book_.Break("the healed VMs did not agree within the bound");
@@ -741,6 +942,66 @@
       status.confirmed, voters));
 }
 
+void schedule_world::RunUntil(time_point when) {
+  while (book_.broken.empty() && !queue_.empty() && queue_.top().when <= when) {
+    const happening what = queue_.top();
+    queue_.pop();
+    now_ = std::max(now_, what.when);
+    Happen(what);
+  }
+  now_ = std::max(now_, when);
+}
+
+std::string schedule_world::RunExchange() {
+  heals_ = true;
+  kind_ = schedule_kind::kMixed;
+  const consensus_settings product;
+  const std::vector<vm_name> founders = settings_.founders;
+  settings_ = product;
+  settings_.founders = founders;
+  settings_.voter_goal = voters_;
+  slowest_ = milliseconds(8);
+  loss_percent_ = repeat_percent_ = late_percent_ = 0;
+  for (std::size_t i = 0; i < voters_; ++i) {
+    vms_[i]->seeds = founders;
+    Start(i);
+  }
+  RunUntil(now_ + seconds(5));
+  const auto first = Leader();
+  if (!first) return "no leader stands";
+  for (int i = 0; i < 20; ++i) Propose(*first);
+  Settle(*first);
+  RunUntil(now_ + seconds(1));
+  const std::size_t lost = Draw(voters_);
+  Crash(lost);
+  vms_[lost]->gone = true;
+  // The newcomer knows one VM that lives, and two that are gone or unknown.
+  const std::size_t seed = (lost + 1 + Draw(voters_ - 1)) % voters_;
+  const std::size_t added =
+      AddVm({vms_[lost]->name, vms_[seed]->name, "unknown"}, false);
+  RunUntil(now_ + DrawBetween({}, seconds(10)));
+  Start(added);
+  RunUntil(now_ + kVoteBound);
+  const auto leader = Leader();
+  if (!leader) return "no leader stands after the exchange";
+  const consensus_node& node = vms_[*leader]->runner->node();
+  const voter_configuration& accepted =
+      node.log().ConfigurationAt(node.commit());
+  const bool votes = accepted.IsVoter(vms_[added]->runner->node().self());
+  if (!votes) return "the newcomer does not vote in time";
+  RunUntil(now_ + seconds(2));
+  CrashAll();
+  for (std::size_t i = 0; i < vms_.size(); ++i) {
+    happening start;
+    start.what = happening::kind::kStart;
+    start.to = i;
+    Push(now_ + DrawBetween(milliseconds(10), seconds(1)), std::move(start));
+  }
+  RunUntil(now_ + kLeaderBound);
+  if (!Leader()) return "no leader stands after the kill of all";
+  return book_.broken;
+}
+
 std::string schedule_world::Run() {
   for (std::size_t i = 0; i < vms_.size(); ++i) Start(i);
   happening client;
--- a/tests/consensus/schedule_world.h
+++ b/tests/consensus/schedule_world.h
@@ -70,6 +70,11 @@
   // Runs the schedule. Returns the first broken promise, or nothing.
   std::string Run();
 
+  // With calm VMs whose settings are the product's: a voter is gone for good
+  // and another VM comes, which must vote in time; then all are killed at once,
+  // and one must lead in time.
+  std::string RunExchange();
+
   // What happened, if traced.
   const std::vector<std::string>& timeline() const { return timeline_; }
   std::uint64_t acknowledged() const { return acknowledged_count_; }
@@ -97,7 +102,10 @@
   void Wake(std::size_t index);
   void Input(std::size_t index, const consensus_input& input);
   void Settle(std::size_t index);
+  void WriteToDisk(std::size_t index, const storage_batch& batch);
+  void FinishWrite(std::size_t index);
   void CheckPromises(std::size_t index);
+  void CheckWake(std::size_t index);
   time_point LocalTime(const vm& one) const;
   time_point WorldTime(const vm& one, time_point local) const;
 
@@ -105,6 +113,14 @@
   void Crash(std::size_t index);
   void CrashAfterVote(std::size_t index);
   void Pause(std::size_t index);
+  void Resume(std::size_t index);
+  void CrashAll();
+  void HarmDisk(std::size_t index);
+  std::size_t AddVm(std::vector<vm_name> seeds, bool founds);
+  std::size_t Exchange(std::size_t index);
+  void TellOfAll(std::size_t index);
+  void RunUntil(time_point when);
+  bool IsUp(std::size_t index) const;
   void LoseDisk(std::size_t index);
   bool MayLoseDisk(std::size_t index) const;
   bool IsAlive(const member_id& id) const;
@@ -126,6 +142,7 @@
   random_source random_;
   bool traced_;
   std::size_t voters_;
+  bool heals_ = false;  // the leader changes voters, not an operator
   consensus_settings settings_;
   std::size_t padding_ = 0;
   time_point now_;
