--- a/src/consensus/consensus_node.cc
+++ b/src/consensus/consensus_node.cc
@@ -110,8 +110,10 @@
 
 void consensus_node::Handle(const consensus_input& input, time_point now) {
   assert(now >= now_);
-  // Silence of others and disk while this process stood still says nothing.
-  if (now - now_ > 2 * settings_.heartbeat_interval) {
+  // Silence of others and disk while a leader's process stood still says
+  // nothing.
+  const bool stood_still = now - now_ > 2 * settings_.heartbeat_interval;
+  if (role_ == consensus_role::kLeader && stood_still) {
     attentive_since_ = now;
     if (writing_) writing_->since = now;
   }
--- a/src/daemon/consensus_agent.cc
+++ b/src/daemon/consensus_agent.cc
@@ -15,12 +15,15 @@
       settings_(std::move(settings)),
       machine_(machine),
       storage_({settings_.data_folder}),
-      timer_(frame->loop()) {}
+      timer_(frame->loop()),
+      writer_(&storage_, [this](const std::optional<failure>& refused) {
+        asio::post(frame_->loop(), [this, refused] { OnWritten(refused); });
+      }) {}
 
 bool consensus_agent::Start(failure* last_failure) {
-  runner_ =
-      consensus_runner::Start(settings_.consensus, &storage_, machine_, this,
-                              frame_->random(), frame_->Now(), last_failure);
+  runner_ = consensus_runner::Start(settings_.consensus, &storage_, machine_,
+                                    this, frame_->random(), frame_->Now(),
+                                    last_failure, &writer_);
   if (!runner_) return false;
   hub_->SetHandler(frame_kind::kConsensus, [this](const std::string&,
                                                   const std::string& body) {
@@ -62,6 +65,11 @@
   FlushSoon();
 }
 
+void consensus_agent::OnWritten(const std::optional<failure>& refused) {
+  runner_->OnWritten(refused, frame_->Now());
+  FlushSoon();
+}
+
 void consensus_agent::FlushSoon() {
   if (flush_posted_) return;
   flush_posted_ = true;
--- a/src/daemon/consensus_agent.h
+++ b/src/daemon/consensus_agent.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "daemon/process_frame.h"
+#include "daemon/storage_thread.h"
 #include "tamaracklatch/consensus/consensus_runner.h"
 #include "tamaracklatch/consensus/file_log_storage.h"
 #include "transport/link_hub.h"
@@ -63,6 +64,7 @@
 
  private:
   void Handle(const consensus_input& input);
+  void OnWritten(const std::optional<failure>& refused);
   void FlushSoon();
   void Schedule();
   void Answer(std::uint64_t id, result_code code, revision index);
@@ -74,6 +76,7 @@
   file_log_storage storage_;
   std::unique_ptr<consensus_runner> runner_;
   asio::steady_timer timer_;
+  storage_thread writer_;  // ends before the runner and the storage
   std::map<std::uint64_t, consensus_reply>
       waiting_;  // by the id of the proposal or read
   std::uint64_t next_id_ = 1;
--- a/src/daemon/view_agent.cc
+++ b/src/daemon/view_agent.cc
@@ -4,6 +4,11 @@
 #include <algorithm>
 
 namespace tamaracklatch {
+namespace {
+
+constexpr std::chrono::hours kLongestWait{1};  // until the next tick
+
+}  // namespace
 
 view_agent::view_agent(process_frame* frame, link_hub* hub,
                        const relay_settings& settings, view_listener* listener)
@@ -70,9 +75,11 @@
 }
 
 void view_agent::Schedule() {
-  const duration wait =
-      std::max(node_.next_wake() - frame_->Now(), duration::zero());
-  timer_.expires_after(wait);
+  // Bounded, for a wake-up that never comes overflows the timer's finer clock
+  // and would be due at once, for ever.
+  const time_point now = frame_->Now();
+  const time_point wake = std::min(node_.next_wake(), now + kLongestWait);
+  timer_.expires_after(std::max(wake - now, duration::zero()));
   timer_.async_wait([this](asio::error_code error) {
     if (!error) Perform(node_.OnTick(frame_->Now()));
   });
--- a/tests/consensus/file_log_storage_test.cc
+++ b/tests/consensus/file_log_storage_test.cc
@@ -3,7 +3,9 @@
 #include "tamaracklatch/consensus/file_log_storage.h"
 
 #include <criterion/criterion.h>
+#include <sys/resource.h>
 
+#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -327,6 +329,51 @@
   cr_assert(why.code == result_code::kSnapshotBroken);
 }
 
+// A process that was killed may have written what it never synced; whoever
+// reads it counts on it.
+Test(file_log_storage, what_a_start_reads_is_synced_first) {
+  const temporary_folder folder;
+  WriteLog(folder.data(), 3);
+  auto storage = Open(folder.data());
+  failure why;
+  cr_assert(storage->Load(&why).has_value());
+  cr_assert_geq(storage->counts().file_syncs, 1u);
+  cr_assert_geq(storage->counts().folder_syncs, 1u);
+}
+
+// The limit of file size stands in for a disk without room.
+Test(file_log_storage, a_refused_batch_is_taken_once_there_is_room) {
+  std::signal(SIGXFSZ, SIG_IGN);
+  for (rlim_t room = 1; room < 600; room += 7) {
+    const temporary_folder folder;
+    auto written = WriteLog(folder.data(), 2);
+    auto storage = Open(folder.data());
+    failure why;
+    cr_assert(storage->Load(&why).has_value());
+    storage_batch batch = Hard(2);
+    batch.entries = {Command(3, 2, std::string(400, 'x'))};
+    rlimit before{};
+    cr_assert_eq(getrlimit(RLIMIT_FSIZE, &before), 0);
+    rlimit small = before;
+    small.rlim_cur = room;
+    cr_assert_eq(setrlimit(RLIMIT_FSIZE, &small), 0);
+    const bool fits = storage->Persist(batch, &why);
+    const bool fits_again = fits || storage->Persist(batch, &why);
+    cr_assert_eq(setrlimit(RLIMIT_FSIZE, &before), 0);
+    cr_assert(fits == fits_again);
+    cr_assert(fits || why.code == result_code::kDiskFull);
+    cr_assert(fits || storage->Persist(batch, &why));
+    written.push_back(batch.entries[0]);
+    written.push_back(Command(4, 2, "after"));
+    cr_assert(storage->Persist(Entries({written.back()}), &why));
+    storage.reset();
+    const auto state = Reopen(folder.data(), &why);
+    cr_assert(state.has_value(), "%s", why.reason.c_str());
+    cr_assert(state->entries == written && state->hard == *batch.hard);
+    cr_assert_eq(state->repaired_bytes, 0u);
+  }
+}
+
 Test(file_log_storage, a_folder_serves_one_process_at_a_time) {
   const temporary_folder folder;
   failure why;
--- a/tests/consensus/schedule_world.h
+++ b/tests/consensus/schedule_world.h
@@ -162,6 +162,7 @@
   std::uint64_t next_id_ = 1;
   std::uint64_t acknowledged_count_ = 0;
   std::uint64_t disks_lost_ = 0;
+  std::vector<time_point> losses_;  // of disks
   bool repair_watched_ = false;
   bool acknowledged_now_ = false;  // by the input at hand
   std::vector<std::string> timeline_;
