--- a/tests/consensus/schedule_world.h
+++ b/tests/consensus/schedule_world.h
@@ -70,6 +70,11 @@
   // Runs the schedule. Returns the first broken promise, or nothing.
   std::string Run();
 
+  // With calm VMs whose settings are the product's: a voter is gone for good
+  // and another VM comes, which must vote in time; then all are killed at once,
+  // and one must lead in time.
+  std::string RunExchange();
+
   // What happened, if traced.
   const std::vector<std::string>& timeline() const { return timeline_; }
   std::uint64_t acknowledged() const { return acknowledged_count_; }
@@ -97,7 +102,12 @@
   void Wake(std::size_t index);
   void Input(std::size_t index, const consensus_input& input);
   void Settle(std::size_t index);
+  void WriteToDisk(std::size_t index, const storage_batch& batch);
+  void FinishWrite(std::size_t index);
   void CheckPromises(std::size_t index);
+  void CheckWake(std::size_t index);
+  void CheckChange(const consensus_node& node);
+  bool HadCaughtUp(const member_id& id, revision index) const;
   time_point LocalTime(const vm& one) const;
   time_point WorldTime(const vm& one, time_point local) const;
 
@@ -105,6 +115,14 @@
   void Crash(std::size_t index);
   void CrashAfterVote(std::size_t index);
   void Pause(std::size_t index);
+  void Resume(std::size_t index);
+  void CrashAll();
+  void HarmDisk(std::size_t index);
+  std::size_t AddVm(std::vector<vm_name> seeds, bool founds);
+  std::size_t Exchange(std::size_t index);
+  void TellOfAll(std::size_t index);
+  void RunUntil(time_point when);
+  bool IsUp(std::size_t index) const;
   void LoseDisk(std::size_t index);
   bool MayLoseDisk(std::size_t index) const;
   bool IsAlive(const member_id& id) const;
@@ -126,6 +144,7 @@
   random_source random_;
   bool traced_;
   std::size_t voters_;
+  bool heals_ = false;  // the leader changes voters, not an operator
   consensus_settings settings_;
   std::size_t padding_ = 0;
   time_point now_;
@@ -144,7 +163,9 @@
   std::map<std::uint64_t, revision> asked_;  // read id to what it must see
   std::uint64_t next_id_ = 1;
   std::uint64_t acknowledged_count_ = 0;
+  std::set<revision> changes_;  // of voters, looked at
   std::uint64_t disks_lost_ = 0;
+  std::vector<time_point> losses_;  // of disks
   bool repair_watched_ = false;
   bool acknowledged_now_ = false;  // by the input at hand
   std::vector<std::string> timeline_;
