Serve document sets over HTTP and on the command line

Cause: operators had no way to send or read a set without a translating process. PUT and GET /v1/set on every control VM; a follower acknowledges what it has applied, forwards what needs the log, and reads by the read index. Forwarded bodies of more than 128 KiB were dropped by the receiver's reader and answered 504 late; the bound is now 512 KiB, and more gets 413 at once (it would have passed the bound of a frame). check and submit-set know sets.

--- a/include/tamaracklatch/core/result_code.h
+++ b/include/tamaracklatch/core/result_code.h
@@ -63,6 +63,7 @@
   kTargetUnknown = 520,
   kSetInvalid = 530,
   kSetSuperseded = 531,
+  kSetUnknown = 532,
   kCommandMalformed = 508,
   kSnapshotMalformed = 509,
   kTooManyWaiting = 510,
--- a/programs/tamaracklatch.cc
+++ b/programs/tamaracklatch.cc
@@ -37,6 +37,8 @@
 constexpr const char* kUsage = R"(tamaracklatch COMMAND [ARGUMENTS] [FLAGS]
 
   submit FILE          submit a service document; safe to repeat
+  submit-set FILE      replace the whole document set; safe to repeat
+  set                  the document set that is held, as it was submitted
   status [SERVICE]     what is accepted, and where it is in force
   history SERVICE      accepted versions of a service's document
   drain SERVICE VM     let the targets on a VM take no new work for a service
--- a/src/core/result_code.cc
+++ b/src/core/result_code.cc
@@ -191,6 +191,8 @@
       return "set_invalid";
     case result_code::kSetSuperseded:
       return "set_superseded";
+    case result_code::kSetUnknown:
+      return "set_unknown";
     case result_code::kRouteUnknown:
       return "route_unknown";
     case result_code::kNoTarget:
--- a/src/daemon/check_command.cc
+++ b/src/daemon/check_command.cc
@@ -6,6 +6,7 @@
 #include <optional>
 
 #include "core/checked_json.h"
+#include "tamaracklatch/control/document_set_text.h"
 #include "tamaracklatch/daemon/settings.h"
 #include "tamaracklatch/document/service_document.h"
 
@@ -18,6 +19,7 @@
 
 enum class file_kind : std::uint8_t {
   kDocument,
+  kDocumentSet,
   kControld,
   kBalancerd,
   kTargetd,
@@ -33,6 +35,7 @@
     }
     return false;
   };
+  if (any({kSetRoutesKey})) return file_kind::kDocumentSet;
   if (any({"addresses", "version", "classes"})) return file_kind::kDocument;
   if (any({"voters", "operators"})) return file_kind::kControld;
   if (any({"target", "capacity", "requests"})) return file_kind::kTargetd;
@@ -54,6 +57,13 @@
                            DocumentHash(*document));
       }
       break;
+    case file_kind::kDocumentSet:
+      if (const auto set = ParseDocumentSet(text, failures)) {
+        return fmt::format("document set, version {}, {} routes, {} services",
+                           set->version, set->routes.size(),
+                           set->services.size());
+      }
+      break;
     case file_kind::kControld:
       if (const auto settings = LoadControldSettings(path, failures)) {
         return fmt::format("settings of control daemon {}, {} voters",
--- a/src/daemon/commands.cc
+++ b/src/daemon/commands.cc
@@ -44,6 +44,10 @@
   const std::string& command = words[0];
   if (command == "submit" && words.size() == 2)
     return RunSubmit(options, words[1], out, errors);
+  if (command == "submit-set" && words.size() == 2)
+    return RunSubmitSet(options, words[1], out, errors);
+  if (command == "set" && words.size() == 1)
+    return RunGet(options, "/v1/set", out, errors);
   if (command == "status" && words.size() == 1)
     return RunGet(options, "/v1/status", out, errors);
   if (command == "status" && words.size() == 2)
--- a/src/daemon/control_api.cc
+++ b/src/daemon/control_api.cc
@@ -6,6 +6,7 @@
 #include <cstdlib>
 #include <nlohmann/json.hpp>
 
+#include "daemon/api_answers.h"
 #include "tamaracklatch/document/service_document.h"
 
 namespace tamaracklatch {
@@ -15,23 +16,7 @@
 constexpr unsigned kForbidden = 403;
 constexpr unsigned kNotFound = 404;
 constexpr std::string_view kServicesPath = "/v1/services/";
-
-nlohmann::json ResultJson(result_code code) {
-  return {{"result",
-           code == result_code::kOk ? "accepted" : std::string(ToString(code))},
-          {"code", static_cast<unsigned>(code)}};
-}
-
-http_response JsonAnswer(unsigned status, const nlohmann::json& body) {
-  return {status, "application/json", {}, body.dump()};
-}
-
-http_response ErrorAnswer(unsigned status, result_code code,
-                          const std::string& detail) {
-  nlohmann::json body = ResultJson(code);
-  body["detail"] = detail;
-  return JsonAnswer(status, body);
-}
+constexpr std::string_view kSetPath = "/v1/set";
 
 unsigned StatusOf(result_code code) {
   return static_cast<unsigned>(submission_gate::HttpStatus(code));
@@ -44,11 +29,7 @@
   if (answer.code == result_code::kOk) body["revision"] = answer.accepted.value;
   if (answer.code == result_code::kVersionConflict)
     body["winner_hash"] = fmt::format("{:016x}", answer.winner_hash);
-  for (const failure& fault : answer.failures) {
-    body["faults"].push_back({{"code", static_cast<unsigned>(fault.code)},
-                              {"name", std::string(ToString(fault.code))},
-                              {"reason", fault.reason}});
-  }
+  AddFaults(answer.failures, &body);
   return JsonAnswer(StatusOf(answer.code), body);
 }
 
@@ -64,12 +45,6 @@
   return "";
 }
 
-std::string BearerToken(const http_request& request) {
-  const std::string prefix = "Bearer ";
-  const std::string field = request.Field("Authorization");
-  return field.rfind(prefix, 0) == 0 ? field.substr(prefix.size()) : "";
-}
-
 std::vector<access_token> Tokens(const controld_settings& settings) {
   std::vector<access_token> tokens;
   for (const operator_settings& each : settings.operators) {
@@ -103,6 +78,7 @@
       state_(state),
       tokens_(Tokens(settings)),
       gate_({}, &tokens_, frame->random()()),
+      sets_(frame, &tokens_, state),
       in_force_({}),
       forward_(frame, hub,
                [this](const http_request& request, const http_reply& reply) {
@@ -112,6 +88,7 @@
 void control_api::SetAgents(consensus_agent* consensus, view_agent* view) {
   consensus_ = consensus;
   view_ = view;
+  sets_.SetAgent(consensus);
 }
 
 bool control_api::IsLeader() const {
@@ -132,8 +109,12 @@
   // Each VM answers for itself who votes; the rest is the leader's to know.
   if (request.path == "/v1/voters" && request.method == "GET")
     return ShowVoters(reply);
-  if (IsLeader()) return HandleAtLeader(request, reply);
   const auto leader = LeaderContact();
+  if (request.path == kSetPath) {
+    const log_standing standing{IsLeader(), leader ? leader->name : ""};
+    if (sets_.Handle(request, reply, standing)) return;
+  }
+  if (IsLeader()) return HandleAtLeader(request, reply);
   if (leader) return forward_.Send(*leader, request, reply);
   reply(ErrorAnswer(StatusOf(result_code::kNotLeader), result_code::kNotLeader,
                     "no leader is known; ask again"));
@@ -145,6 +126,10 @@
     return reply(ErrorAnswer(StatusOf(result_code::kNotLeader),
                              result_code::kNotLeader, "this VM leads no more"));
   }
+  if (request.path == kSetPath) {
+    sets_.Handle(request, reply, {true, ""});
+    return;
+  }
   if (request.path == "/v1/status" && request.method == "GET")
     return ShowStatus(reply);
   if (request.path == "/v1/voters" && request.method == "POST")
@@ -222,6 +207,7 @@
   }
   if (!outcome.refused.empty() && on_refused_) on_refused_(outcome.refused);
   Perform(gate_.OnApplied(outcome));
+  sets_.OnApplied(outcome);
   for (const event& what : watch_.OnChanges(changes))
     frame_->events().OnEvent(what);
   if (!changes.changes.empty())
@@ -243,8 +229,12 @@
 void control_api::Tick() {
   forward_.Expire();
   Perform(gate_.OnTick(frame_->Now()));
+  sets_.Tick();
   const bool leads = IsLeader();
-  if (led_ && !leads) Perform(gate_.OnLeadershipLost());
+  if (led_ && !leads) {
+    Perform(gate_.OnLeadershipLost());
+    sets_.OnLeadershipLost();
+  }
   led_ = leads;
   // Only the leader's sum covers all nodes.
   if (!leads) return;
@@ -388,6 +378,10 @@
     body["revision"] = state_->view().at.value;
     body.update(
         InForceJson(in_force_.Status(state_->view().at), frame_->Now()));
+    if (const auto set = state_->held_set()) {
+      body["set_version"] = set->version;
+      body["set_revision"] = set->accepted.value;
+    }
     body["services"] = nlohmann::json::array();
     for (const auto& [id, record] : state_->view().services) {
       body["services"].push_back(
--- a/src/daemon/control_api.h
+++ b/src/daemon/control_api.h
@@ -1,6 +1,7 @@
-// The operators' HTTP API of a control VM: submissions, drains, voters, and
-// what is in force. Answers are JSON with the number and the name of the
-// result. A VM that follows forwards what only the leader knows.
+// The operators' HTTP API of a control VM: submissions, the document set,
+// drains, voters, and what is in force. Answers are JSON with the number and
+// the name of the result. A VM that follows forwards what only the leader
+// knows.
 #pragma once
 
 #include <functional>
@@ -10,6 +11,7 @@
 #include "daemon/consensus_agent.h"
 #include "daemon/http_server.h"
 #include "daemon/request_forward.h"
+#include "daemon/set_api.h"
 #include "daemon/view_agent.h"
 #include "tamaracklatch/control/access_tokens.h"
 #include "tamaracklatch/control/control_state.h"
@@ -42,7 +44,10 @@
                  const revision_changes& changes) override;
 
   // The state was restored from a snapshot.
-  void OnRestored() { watch_.Reset(state_->view()); }
+  void OnRestored() {
+    watch_.Reset(state_->view());
+    sets_.OnRestored();
+  }
 
   // Does what is due: answers submissions that wait too long, and looks at what
   // is in force. Call several times a second.
@@ -85,6 +90,7 @@
   view_agent* view_ = nullptr;
   access_tokens tokens_;
   submission_gate gate_;
+  set_api sets_;
   in_force_tracker in_force_;
   request_forward forward_;
   membership_watch watch_;
--- a/src/daemon/operator_commands.cc
+++ b/src/daemon/operator_commands.cc
@@ -12,6 +12,7 @@
 #include <thread>
 
 #include "daemon/http_client.h"
+#include "tamaracklatch/control/document_set_text.h"
 #include "tamaracklatch/document/service_document.h"
 
 namespace tamaracklatch {
@@ -132,6 +133,24 @@
   return WaitInForce(&client, document->service, revision, out, errors);
 }
 
+int RunSubmitSet(const operator_options& options, const std::string& path,
+                 std::ostream& out, std::ostream& errors) {
+  const auto text = ReadWholeFile(path);
+  if (!text) {
+    fmt::print(errors, "{}: can't be read\n", path);
+    return kExitUsage;
+  }
+  std::vector<failure> faults;
+  const auto set = ParseDocumentSet(*text, &faults);
+  for (const failure& fault : faults)
+    fmt::print(errors, "{}: {}\n", path, ToString(fault));
+  if (!set) return kExitUsage;
+  failure why;
+  const auto answer =
+      control_client(options).Send({"PUT", "/v1/set", "", {}, *text}, &why);
+  return PrintAnswer(answer, why, out, errors);
+}
+
 int RunGet(const operator_options& options, const std::string& path,
            std::ostream& out, std::ostream& errors) {
   failure why;
--- a/src/daemon/operator_commands.h
+++ b/src/daemon/operator_commands.h
@@ -1,5 +1,5 @@
-// The operator's commands that talk to the control VMs: submit, status,
-// history, drain, voters.
+// The operator's commands that talk to the control VMs: submit, submit-set,
+// set, status, history, drain, voters.
 #pragma once
 
 #include <chrono>
@@ -31,6 +31,11 @@
 int RunSubmit(const operator_options& options, const std::string& path,
               std::ostream& out, std::ostream& errors);
 
+// Submits the document set at `path`, which replaces the one before. The same
+// set may be submitted again after any failure.
+int RunSubmitSet(const operator_options& options, const std::string& path,
+                 std::ostream& out, std::ostream& errors);
+
 // Prints the answer of GET `path`, such as "/v1/status", "/v1/services/NAME" or
 // "/v1/services/NAME/history".
 int RunGet(const operator_options& options, const std::string& path,
--- a/src/daemon/request_forward.cc
+++ b/src/daemon/request_forward.cc
@@ -3,6 +3,7 @@
 
 #include <vector>
 
+#include "tamaracklatch/control/document_set.h"
 #include "tamaracklatch/transport/wire.h"
 
 namespace tamaracklatch {
@@ -10,11 +11,17 @@
 
 constexpr std::chrono::seconds kAnswerTimeout{6};
 constexpr std::size_t kMaxWaiting = 1024;
+// Bound of a request's body: the largest that the API takes, which a frame has
+// room for.
+constexpr std::size_t kMaxForwardedBytes = kMaxSetSourceBytes;
+constexpr unsigned kTooLarge = 413;
 constexpr unsigned kUnavailable = 503;
 constexpr unsigned kGatewayTimeout = 504;
 constexpr const char* kAuthorization = "Authorization";
 constexpr const char* kUnknownOutcome =
     R"({"result":"outcome_unknown","code":503,"detail":"the leader gave no answer; sending the same again is safe"})";
+constexpr const char* kBodyTooLarge =
+    R"({"result":"document_too_large","code":206,"detail":"at most 524288 bytes are read"})";
 constexpr const char* kBusy =
     R"({"result":"too_many_waiting","code":510,"detail":"ask again"})";
 
@@ -67,6 +74,8 @@
 void request_forward::Send(const relay_contact& leader,
                            const http_request& request,
                            const http_reply& reply) {
+  if (request.body.size() > kMaxForwardedBytes)
+    return reply({kTooLarge, "application/json", {}, kBodyTooLarge});
   if (waiting_.size() >= kMaxWaiting)
     return reply({kUnavailable, "application/json", {}, kBusy});
   const std::uint64_t id = next_++;
@@ -77,7 +86,9 @@
 
 void request_forward::OnFrame(const std::string& peer,
                               const std::string& body) {
-  wire_reader reader(body);
+  wire_limits limits;
+  limits.max_text = kMaxForwardedBytes;
+  wire_reader reader(body, limits);
   reader.Array();
   const auto role = static_cast<frame_role>(reader.NumberUpTo(1));
   const std::uint64_t id = reader.Number();
--- /dev/null
+++ b/tests/control/document_set_test.cc
@@ -0,0 +1,295 @@
+// Tests of document sets: every kind of fault, encoding, and how the control
+// state holds them.
+#include "tamaracklatch/control/document_set.h"
+
+#include <fmt/format.h>
+
+#include <string>
+#include <vector>
+
+#include "control/document_sets.h"
+#include "support/property.h"
+#include "tamaracklatch/consensus/consensus_message.h"
+#include "tamaracklatch/control/control_state.h"
+#include "tamaracklatch/control/document_set_text.h"
+#include "tamaracklatch/transport/link_codec.h"
+
+namespace tamaracklatch {
+namespace {
+
+// --- Reading ---
+
+// A text that is a set once the parts are filled in.
+std::string TextOf(const std::string& version, const std::string& services,
+                   const std::string& routes, const std::string& more = "") {
+  return fmt::format(R"({{"version":{},"services":{},"routes":{}{}}})", version,
+                     services, routes, more);
+}
+
+std::string Route(const std::string& where, const std::string& shares,
+                  const std::string& name = "r") {
+  return fmt::format(R"({{"name":"{}","where":"{}","shares":[{}]}})", name,
+                     where, shares);
+}
+
+struct fault_row {
+  std::string text;
+  result_code code;
+  const char* said;  // by the first fault
+  std::size_t faults = 1;
+};
+
+std::vector<fault_row> FaultRows() {
+  const std::string a = R"(["a"])";
+  const std::string to_a = R"({"service":"a"})";
+  const std::string one = "[" + Route("1.2.3.4:5", to_a) + "]";
+  using code = result_code;
+  return {
+      {"{", code::kDocumentSyntax, "byte 2"},
+      {TextOf("1", a, one) + "x", code::kDocumentSyntax, "not JSON"},
+      {"[]", code::kDocumentWrongType, "not an object", 4},
+      {"{}", code::kDocumentMissingKey, "version", 3},
+      {TextOf("0", a, one), code::kDocumentOutOfRange, "version: 0"},
+      {TextOf("-3", a, one), code::kDocumentOutOfRange, "version: -3"},
+      {TextOf("1.5", a, one), code::kDocumentWrongType, "version: 1.5"},
+      {TextOf("\"1\"", a, one), code::kDocumentWrongType, "version"},
+      {TextOf("1e30", a, one), code::kDocumentWrongType, "version"},
+      {TextOf("1", "[\"\"]", "[]"), code::kDocumentOutOfRange, "services[0]"},
+      {TextOf("1", "[\"a\",\"a\"]", one), code::kDocumentDuplicate,
+       "services[1]"},
+      {TextOf("1", "[7]", "[]"), code::kDocumentWrongType, "services[0]"},
+      {TextOf("1", a, "[7]"), code::kDocumentWrongType, "routes[0]: 7", 5},
+      {TextOf("1", a, "[" + Route("1.2.3.4:5", to_a, "") + "]"),
+       code::kDocumentOutOfRange, "routes[0].name"},
+      {TextOf("1", a, "[" + Route("1.2.3.4", to_a) + "]"),
+       code::kDocumentOutOfRange, "routes[0].where"},
+      {TextOf("1", a, "[" + Route("1.2.3.4:0", to_a) + "]"),
+       code::kDocumentOutOfRange, "the port is 0"},
+      {TextOf("1", a, "[" + Route("1.2.3.4:5", "") + "]"), code::kSetInvalid,
+       "routes[0].shares: no share has a weight"},
+      {TextOf("1", a,
+              "[" + Route("1.2.3.4:5", R"({"service":"a","weight":0})") + "]"),
+       code::kSetInvalid, "routes[0].shares: no share has a weight"},
+      {TextOf("1", a,
+              "[" + Route("1.2.3.4:5", R"({"service":"a","weight":-1})") + "]"),
+       code::kDocumentOutOfRange, "routes[0].shares[0].weight"},
+      {TextOf("1", a, "[" + Route("1.2.3.4:5", R"({"service":"b"})") + "]"),
+       code::kSetInvalid, "routes[0].shares[0].service: \"b\""},
+      {TextOf("1", a,
+              "[" + Route("1.2.3.4:5", to_a) + "," + Route("1.2.3.4:5", to_a) +
+                  "]"),
+       code::kSetInvalid, "routes[1].where: 1.2.3.4:5"},
+      {TextOf("1", a, one, R"(,"idle_timeout":"15")"),
+       code::kDocumentOutOfRange, "idle_timeout"},
+      {TextOf("1", a, one, R"(,"idle_timeout":15)"), code::kDocumentWrongType,
+       "idle_timeout"},
+      {TextOf("1", a, one, R"(,"rotues":[])"), code::kDocumentUnknownKey,
+       "the nearest known key is \"routes\""},
+      // Everything at once.
+      {TextOf("0", a,
+              "[" + Route("x", to_a) + "," + Route("y", R"({"service":"b"})") +
+                  "]"),
+       code::kDocumentOutOfRange, "version", 3},
+      {std::string(kMaxSetSourceBytes + 1, ' '), code::kDocumentTooLarge,
+       "524289 bytes"},
+  };
+}
+
+Test(control, set_faults_by_number) {
+  for (const fault_row& row : FaultRows()) {
+    std::vector<failure> faults;
+    const std::string shown = row.text.substr(0, 200);
+    cr_assert(!ParseDocumentSet(row.text, &faults), "%s", shown.c_str());
+    std::string said;
+    for (const failure& fault : faults) said += ToString(fault) + "\n";
+    cr_expect(faults.front().code == row.code, "%s: %s", shown.c_str(),
+              said.c_str());
+    cr_expect(faults.size() == row.faults, "%s: %s", shown.c_str(),
+              said.c_str());
+    cr_expect(faults.front().reason.find(row.said) != std::string::npos,
+              "%s: %s", shown.c_str(), said.c_str());
+  }
+}
+
+Test(control, set_is_read_whole) {
+  std::vector<failure> faults;
+  const auto set = ParseDocumentSet(
+      R"({"version":7,"idle_timeout":"1500ms", // half of it
+          "services":["a","b"],"routes":[
+          {"name":"x","where":"198.18.0.1:443","shares":[{"service":"b"}]},
+          {"name":"x","where":"[fd00::1]:443","shares":[
+            {"service":"a","weight":0},{"service":"b","weight":90}]}]})",
+      &faults);
+  cr_assert(set.has_value());
+  cr_expect(set->version == 7 && set->services.size() == 2);
+  cr_expect(set->idle_timeout == std::chrono::milliseconds(1500));
+  cr_expect(ToString(set->routes[1].where) == "[fd00::1]:443");
+  const std::vector<service_share> alone{{"b", 1}};
+  const std::vector<service_share> both{{"a", 0}, {"b", 90}};
+  cr_expect(set->routes[0].shares == alone);
+  cr_expect(set->routes[1].shares == both);
+  // A set may route nothing yet.
+  cr_expect(ParseDocumentSet(TextOf("1", "[]", "[]"), &faults).has_value());
+}
+
+// --- Encoding ---
+
+Test(control, sets_survive_encoding) {
+  test::CheckProperty("a set survives, a broken one is none", []() {
+    auto set = test::MakeSet(*rc::gen::arbitrary<std::uint64_t>(),
+                             *rc::gen::inRange<std::uint32_t>(1, 40),
+                             *rc::gen::inRange<std::uint32_t>(0, 1000));
+    set.routes.front().name = *rc::gen::arbitrary<std::string>();
+    const std::string bytes = EncodeDocumentSet(set);
+    const auto read = DecodeDocumentSet(bytes);
+    RC_ASSERT(read.has_value());
+    RC_ASSERT(read->version == set.version && read->routes == set.routes);
+    RC_ASSERT(read->services == set.services);
+    RC_ASSERT(read->idle_timeout == set.idle_timeout);
+    RC_ASSERT(EncodeDocumentSet(*read) == bytes);
+    const auto other = DecodeDocumentSet(test::BrokenBytes(bytes));
+    std::vector<failure> faults;
+    if (other) RC_ASSERT(CheckDocumentSet(*other, &faults));
+    // A log entry that is no command changes nothing.
+    control_state state;
+    const std::string entry =
+        test::BrokenBytes(Encode(test::ReplaceCommand(set, "text")));
+    state.Apply(revision{1}, entry);
+    const auto held = state.held_set();
+    if (held) RC_ASSERT(DecodeDocumentSet(held->encoded_set).has_value());
+  });
+}
+
+Test(control, the_largest_set_fits_one_message) {
+  document_set set = test::MakeSet(1, 2000);
+  for (set_route& route : set.routes) route.name.resize(64, 'x');
+  const std::string source(kMaxSetSourceBytes, 'x');
+  const std::string command = Encode(test::ReplaceCommand(set, source));
+  // The encoded part at its bound, too.
+  const std::size_t largest =
+      command.size() - EncodeDocumentSet(set).size() + kMaxEncodedSetBytes;
+  cr_expect(largest <= kMaxCommandBytes);
+
+  consensus_message message;
+  append_request append;
+  append.entries.push_back({revision{1}, {}, entry_kind::kCommand, command});
+  append.entries[0].payload.resize(kMaxCommandBytes, 'x');
+  message.body = append;
+  const std::string bytes = EncodeConsensusMessage(message);
+  cr_expect(bytes.size() <= kMaxFrameBytes);
+  failure why;
+  cr_expect(DecodeConsensusMessage(bytes, &why).has_value());
+
+  control_state state;
+  state.Apply(revision{1}, command);
+  cr_assert(state.held_set() != nullptr);
+  cr_expect(state.held_set()->source_text == source);
+  control_state restored;
+  cr_expect(restored.Restore(state.Snapshot(), &why));
+  cr_expect(restored.held_set()->source_text == source);
+
+  // One byte more than may be encoded is a fault, not a crash.
+  std::vector<failure> faults;
+  cr_expect(CheckDocumentSet(set, &faults));
+  set.routes[0].name.resize(kMaxEncodedSetBytes, 'x');
+  cr_expect(!CheckDocumentSet(set, &faults));
+  cr_expect(faults.front().code == result_code::kSetInvalid);
+}
+
+// --- The state ---
+
+class outcome_keeper : public control_listener {
+ public:
+  void OnApplied(const command_outcome& outcome,
+                 const revision_changes& /*changes*/) override {
+    last = outcome;
+  }
+  command_outcome last;
+};
+
+struct held_row {
+  const char* name;
+  std::uint64_t version;
+  std::uint32_t content;
+  bool taken;
+  std::uint64_t held_version;
+  std::uint32_t held_content;
+};
+
+const std::vector<held_row> kHeldRows{
+    {"the first, at any version", 40, 0, true, 40, 0},
+    {"a resend", 40, 0, false, 40, 0},
+    {"other content under the held version", 40, 1, false, 40, 0},
+    {"an older version", 39, 2, false, 40, 0},
+    {"a higher one, with a gap", 52, 3, true, 52, 3},
+    {"the overtaken one again", 40, 0, false, 52, 3},
+};
+
+Test(control, the_highest_set_is_held) {
+  outcome_keeper heard;
+  control_state state(&heard);
+  std::uint64_t at = 0;
+  for (const held_row& row : kHeldRows) {
+    const document_set set = test::MakeSet(row.version, 1, row.content);
+    state.Apply(revision{++at},
+                Encode(test::ReplaceCommand(set, test::SourceOf(set))));
+    cr_expect(heard.last.code == result_code::kOk, "%s", row.name);
+    cr_expect(heard.last.set_taken == row.taken, "%s", row.name);
+    cr_expect(heard.last.set_version == row.held_version, "%s", row.name);
+    const document_set held =
+        test::MakeSet(row.held_version, 1, row.held_content);
+    cr_expect(state.held_set()->source_text == test::SourceOf(held), "%s",
+              row.name);
+    cr_expect(state.held_set()->encoded_set == EncodeDocumentSet(held), "%s",
+              row.name);
+  }
+  // Encoded bytes of another version than the entry says are no set.
+  control_command command = test::ReplaceCommand(test::MakeSet(60), "text");
+  std::get<replace_document_set>(command.body).version = 61;
+  state.Apply(revision{++at}, Encode(command));
+  cr_expect(heard.last.code == result_code::kCommandMalformed);
+  cr_expect(state.held_set()->version == 52);
+}
+
+Test(control, snapshots_carry_the_set) {
+  control_state state;
+  // Format 1 ended before the set.
+  std::string old = state.Snapshot();
+  cr_assert(old[0] == '\x97' && old[1] == 2 && old.back() == '\x90');
+  old[0] = '\x96';
+  old[1] = 1;
+  old.pop_back();
+  control_state restored;
+  failure why;
+  cr_expect(restored.Restore(old, &why), "%s", why.reason.c_str());
+  cr_expect(restored.Snapshot() == state.Snapshot());
+
+  for (std::uint64_t version = 1; version <= 300; ++version) {
+    state.Apply(revision{version},
+                Encode(test::ReplaceCommand(
+                    test::MakeSet(version, 200),
+                    std::string(256 * 1024, static_cast<char>(version)))));
+  }
+  // Only the newest set is in it.
+  cr_expect(state.Snapshot().size() < 300 * 1024);
+  cr_expect(restored.Restore(state.Snapshot(), &why));
+  cr_expect(restored.Snapshot() == state.Snapshot());
+  cr_expect(restored.held_set()->version == 300);
+  cr_expect(restored.held_set()->accepted.value == 300);
+
+  test::CheckProperty("a broken snapshot leaves the state", [&]() {
+    control_state other;
+    other.Apply(revision{1},
+                Encode(test::ReplaceCommand(test::MakeSet(5), "")));
+    const std::string before = other.Snapshot();
+    failure reason;
+    if (!other.Restore(test::BrokenBytes(before), &reason)) {
+      RC_ASSERT(other.Snapshot() == before);
+    } else if (other.held_set() != nullptr) {
+      RC_ASSERT(DecodeDocumentSet(other.held_set()->encoded_set).has_value());
+    }
+  });
+}
+
+}  // namespace
+}  // namespace tamaracklatch
--- /dev/null
+++ b/tests/control/set_gate_test.cc
@@ -0,0 +1,364 @@
+// Properties of document sets end to end on a fake log: three control VMs, two
+// operators whose orders race, are resent and lose their answers, leaders that
+// change and entries that are lost with them.
+#include "tamaracklatch/control/set_gate.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "control/document_sets.h"
+#include "support/property.h"
+
+namespace tamaracklatch {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr int kVms = 3;
+constexpr int kSteps = 300;  // of one schedule
+
+std::uint32_t Below(std::uint32_t end) {
+  return *rc::gen::inRange<std::uint32_t>(0, end);
+}
+
+// Checks every answer as it is given.
+class world {
+ public:
+  world() {
+    for (int i = 0; i < kVms; ++i) {
+      vms_.push_back(std::make_unique<vm>());
+      vms_.back()->gate = std::make_unique<set_gate>(
+          set_gate_settings{}, &vms_.back()->state, i + 1);
+    }
+  }
+
+  void Step() {
+    switch (Below(12)) {
+      case 0:
+      case 1:
+        return Send(Below(kVms));
+      case 2:
+        return Resend(Below(kVms));
+      case 3:
+      case 4:
+        return Read(Below(kVms));
+      case 5:
+      case 6:
+        return Commit();
+      case 7:
+      case 8:
+        return Apply(leader_);
+      case 9:
+        return Apply(Below(kVms));
+      case 10:
+        return AnswerReads(Below(kVms));
+      default:
+        return Disturb();
+    }
+  }
+
+  // All that was accepted reaches every VM.
+  void Finish() {
+    Commit();
+    for (int i = 0; i < kVms; ++i) {
+      while (vms_[i]->applied < committed_.size()) Apply(i);
+      AnswerReads(i);
+      now_ += seconds(10);
+      Perform(i, vms_[i]->gate->OnTick(now_));
+      RC_ASSERT(vms_[i]->gate->next_wake() == time_point::max());
+    }
+    RC_ASSERT(open_.empty());
+    std::optional<std::uint64_t> highest;
+    for (const auto& [version, source] : accepted_)
+      highest = std::max(highest.value_or(0), version);
+    for (const auto& each : vms_) {
+      const auto held = each->state.held_set();
+      RC_ASSERT(highest.has_value() == (held != nullptr));
+      if (!held) continue;
+      RC_ASSERT(held->version == *highest);
+      RC_ASSERT(held->source_text == accepted_.at(*highest));
+      RC_ASSERT(held->version >= acknowledged_);
+    }
+    // What was sent once and is resent now is never refused.
+    for (const set_order& order : sent_) {
+      for (int i = 0; i < kVms; ++i) SendTo(i, order);
+    }
+  }
+
+ private:
+  class outcome_keeper : public control_listener {
+   public:
+    void OnApplied(const command_outcome& outcome,
+                   const revision_changes& /*changes*/) override {
+      last = outcome;
+    }
+    command_outcome last;
+  };
+
+  struct vm {
+    outcome_keeper heard;
+    control_state state{&heard};
+    std::unique_ptr<set_gate> gate;
+    std::size_t applied = 0;  // entries of committed_
+  };
+
+  // A read that the log has not answered, with what it may not miss.
+  struct log_read {
+    int vm;
+    std::uint64_t tag;
+    std::size_t index;  // entries of committed_ when it was asked
+  };
+
+  // An order or read without an answer.
+  struct open_request {
+    std::uint64_t version = 0;   // of an order
+    std::uint64_t at_least = 0;  // of a read: acknowledged before it was sent
+    bool is_valid = true;
+  };
+
+  log_standing Standing(int i) const {
+    if (i == leader_) return {true, ""};
+    return {false, Below(3) == 0 ? "" : std::to_string(leader_)};
+  }
+
+  void Send(int i) {
+    document_set set = test::MakeSet(1 + Below(12), 1, Below(3));
+    if (Below(8) == 0) set.routes.push_back(set.routes.front());
+    sent_.push_back(
+        {set, test::SourceOf(set), "op-" + std::to_string(Below(2))});
+    SendTo(i, sent_.back());
+  }
+
+  void Resend(int i) {
+    if (sent_.empty()) return;
+    const std::size_t which = Below(static_cast<std::uint32_t>(sent_.size()));
+    SendTo(i, set_order(sent_[which]));
+  }
+
+  void SendTo(int i, const set_order& order) {
+    std::vector<failure> faults;
+    const bool is_valid = CheckDocumentSet(order.set, &faults);
+    open_[++requests_] = {order.set.version, 0, is_valid};
+    Perform(i, vms_[i]->gate->Order(requests_, order, Standing(i), now_));
+    if (!is_valid) RC_ASSERT(open_.count(requests_) == 0);
+  }
+
+  void Read(int i) {
+    open_[++requests_] = {0, acknowledged_, true};
+    Perform(i, vms_[i]->gate->Read(requests_, now_));
+  }
+
+  // A quorum holds what the leader proposed.
+  void Commit() {
+    for (const std::string& command : proposed_) {
+      committed_.push_back(command);
+      const auto decoded = DecodeCommand(command);
+      const auto& body = std::get<replace_document_set>(decoded->body);
+      const bool is_higher =
+          accepted_.empty() || body.version > accepted_.rbegin()->first;
+      if (is_higher) accepted_[body.version] = body.source_text;
+    }
+    proposed_.clear();
+  }
+
+  void Apply(int i) {
+    vm& at = *vms_[i];
+    if (at.applied == committed_.size()) return;
+    at.state.Apply(revision{at.applied + 1}, committed_[at.applied]);
+    ++at.applied;
+    Perform(i, at.gate->OnApplied(at.heard.last));
+  }
+
+  void AnswerReads(int i) {
+    std::vector<log_read> waiting;
+    for (const log_read& read : reads_) {
+      if (read.vm != i) {
+        waiting.push_back(read);
+        continue;
+      }
+      if (Below(4) == 0) {
+        Perform(i,
+                vms_[i]->gate->OnReadIndex(read.tag, result_code::kNotLeader));
+        continue;
+      }
+      while (vms_[i]->applied < read.index) Apply(i);
+      Perform(i, vms_[i]->gate->OnReadIndex(read.tag, result_code::kOk));
+    }
+    reads_ = std::move(waiting);
+  }
+
+  void Disturb() {
+    switch (Below(4)) {
+      case 0: {  // a snapshot from another VM
+        const int from = static_cast<int>(Below(kVms));
+        const int to = static_cast<int>(Below(kVms));
+        if (vms_[to]->applied >= vms_[from]->applied) return;
+        failure why;
+        RC_ASSERT(vms_[to]->state.Restore(vms_[from]->state.Snapshot(), &why));
+        vms_[to]->applied = vms_[from]->applied;
+        return Perform(to, vms_[to]->gate->OnRestored());
+      }
+      case 1:  // the leader's log stands still
+        now_ += seconds(1 + Below(6));
+        return Perform(leader_, vms_[leader_]->gate->OnTick(now_));
+      default: {
+        // What the old leader proposed is lost or held by the new one.
+        if (Below(2) == 0) proposed_.clear();
+        const int before = leader_;
+        leader_ = static_cast<int>(Below(kVms));
+        if (leader_ != before)
+          Perform(before, vms_[before]->gate->OnLeadershipLost());
+      }
+    }
+  }
+
+  void Perform(int i, const set_gate::actions& actions) {
+    for (const set_action& action : actions)
+      std::visit([&](const auto& each) { Do(i, each); }, action);
+  }
+
+  open_request Close(std::uint64_t request) {
+    RC_ASSERT(open_.count(request) == 1);
+    const open_request found = open_[request];
+    open_.erase(request);
+    return found;
+  }
+
+  void Do(int i, const set_answer& answer) {
+    const open_request request = Close(answer.request);
+    const unsigned status = set_gate::HttpStatus(answer.code);
+    RC_ASSERT((status == 422) == !request.is_valid);
+    RC_ASSERT(status == 200 || status == 422 || status == 503);
+    if (status != 200) return;
+    // Some accepted set stands for it, here and for good.
+    const auto held = vms_[i]->state.held_set();
+    RC_ASSERT(held != nullptr);
+    RC_ASSERT(held->version >= request.version);
+    RC_ASSERT(answer.held_version == held->version);
+    RC_ASSERT(accepted_.rbegin()->first >= request.version);
+    RC_ASSERT((answer.code == result_code::kOk) ==
+              (held->version == request.version));
+    acknowledged_ = std::max(acknowledged_, request.version);
+  }
+
+  void Do(int /*i*/, const set_read_answer& answer) {
+    const open_request request = Close(answer.request);
+    if (answer.code != result_code::kOk) {
+      RC_ASSERT(set_gate::HttpStatus(answer.code) == 503U);
+      return;
+    }
+    const std::uint64_t version = answer.set ? answer.set->version : 0;
+    RC_ASSERT(version >= request.at_least);
+    if (answer.set) RC_ASSERT(answer.set->source_text == accepted_.at(version));
+  }
+
+  void Do(int i, const propose_command& action) {
+    RC_ASSERT(i == leader_);
+    const auto decoded = DecodeCommand(action.command);
+    RC_ASSERT(decoded.has_value());
+    if (Below(6) == 0) {
+      return Perform(i, vms_[i]->gate->OnProposalRefused(
+                            action.tag, {result_code::kLogBusy, "busy"}));
+    }
+    proposed_.push_back(action.command);
+  }
+
+  void Do(int i, const ask_read_index& action) {
+    reads_.push_back({i, action.tag, committed_.size()});
+  }
+
+  std::vector<std::unique_ptr<vm>> vms_;
+  int leader_ = 0;
+  std::vector<std::string> proposed_;   // by the leader, not committed
+  std::vector<std::string> committed_;  // the log
+  std::vector<log_read> reads_;
+  std::vector<set_order> sent_;
+  std::map<std::uint64_t, open_request> open_;
+  // The model: the source of each version that was ever the highest.
+  std::map<std::uint64_t, std::string> accepted_;
+  std::uint64_t acknowledged_ = 0;
+  std::uint64_t requests_ = 0;
+  time_point now_;
+};
+
+Test(control, sets_stay_as_acknowledged) {
+  test::CheckProperty("acknowledged sets stay", []() {
+    world run;
+    for (int i = 0; i < kSteps; ++i) run.Step();
+    run.Finish();
+  });
+}
+
+// --- Single rules ---
+
+const log_standing kLeads{true, ""};
+
+set_order OrderOf(std::uint64_t version, std::uint32_t content = 0) {
+  const document_set set = test::MakeSet(version, 1, content);
+  return {set, test::SourceOf(set), "operator"};
+}
+
+template <typename Action>
+const Action* Only(const set_gate::actions& actions) {
+  return actions.size() == 1 ? std::get_if<Action>(&actions[0]) : nullptr;
+}
+
+Test(control, resent_orders_join_the_one_under_way) {
+  control_state state;
+  set_gate gate({}, &state, 1);
+  const auto first = gate.Order(1, OrderOf(5), kLeads, {});
+  const auto* proposal = Only<propose_command>(first);
+  cr_assert(proposal != nullptr);
+  cr_expect(gate.Order(2, OrderOf(5), kLeads, {}).empty());
+  cr_expect(Only<propose_command>(gate.Order(3, OrderOf(5, 1), kLeads, {})));
+  cr_expect(Only<propose_command>(gate.Order(4, OrderOf(9), kLeads, {})));
+  state.Apply(revision{1}, proposal->command);
+  command_outcome outcome;
+  outcome.tag = proposal->tag;
+  outcome.set_version = 5;
+  // All of version 5 are answered, whatever their content.
+  cr_expect(gate.OnApplied(outcome).size() == 3);
+  cr_expect(gate.OnLeadershipLost().size() == 1);
+}
+
+Test(control, too_many_orders_may_come_again) {
+  control_state state;
+  set_gate gate({}, &state, 1);
+  for (std::uint64_t i = 1; i <= 64; ++i)
+    cr_expect(Only<propose_command>(gate.Order(i, OrderOf(i), kLeads, {})));
+  const auto refused = gate.Order(65, OrderOf(65), kLeads, {});
+  cr_assert(Only<set_answer>(refused) != nullptr);
+  const result_code code = Only<set_answer>(refused)->code;
+  cr_expect(code == result_code::kTooManyWaiting);
+  cr_expect(set_gate::HttpStatus(code) == 503);
+  cr_expect(gate.next_wake() == time_point(seconds(5)));
+  cr_expect(gate.OnTick(time_point(seconds(5))).size() == 64);
+  cr_expect(Only<propose_command>(gate.Order(66, OrderOf(66), kLeads, {})));
+}
+
+Test(control, a_follower_names_the_leader) {
+  control_state state;
+  set_gate gate({}, &state, 1);
+  const auto sent = gate.Order(1, OrderOf(1), {false, "control-2"}, {});
+  cr_assert(Only<set_answer>(sent) != nullptr);
+  cr_expect(Only<set_answer>(sent)->code == result_code::kNotLeader);
+  cr_expect(Only<set_answer>(sent)->leader == "control-2");
+  // What is applied here needs no leader.
+  state.Apply(revision{1}, Encode(test::ReplaceCommand(test::MakeSet(3), "x")));
+  const auto resent = gate.Order(2, OrderOf(1), {false, ""}, {});
+  cr_expect(Only<set_answer>(resent)->code == result_code::kSetSuperseded);
+  cr_expect(Only<set_answer>(resent)->held_version == 3);
+  // An invalid set is refused by any VM, also below the held version.
+  set_order invalid = OrderOf(2);
+  invalid.set.routes[0].shares.clear();
+  const auto refused = gate.Order(3, invalid, {false, ""}, {});
+  cr_expect(Only<set_answer>(refused)->code == result_code::kSetInvalid);
+  cr_expect(set_gate::HttpStatus(result_code::kSetInvalid) == 422);
+}
+
+}  // namespace
+}  // namespace tamaracklatch
--- a/tests/daemon/check_command_test.cc
+++ b/tests/daemon/check_command_test.cc
@@ -35,6 +35,11 @@
     {R"({"name": "c", "voters": []})", 1, "0 voters"},
     {R"({"name": "t", "capacity": 0})", 1, "capacity: 0"},
     {R"({"name": "t", "vm": "v"})", 1, "zone: is missing"},
+    {R"({"version": 7, "services": ["a"], "routes": []})", 0,
+     "document set, version 7, 0 routes, 1 services"},
+    {R"({"version": 7, "services": [], "routes": [{"name": "r",
+         "where": "1.2.3.4:5", "shares": [{"service": "a"}]}]})",
+     1, "set_invalid (530): routes[0].shares[0].service"},
     {"{", 1, "document_syntax (200)"},
     {"[]", 1, "not an object"},
 };
