--- a/src/daemon/process_frame.cc
+++ b/src/daemon/process_frame.cc
@@ -2,13 +2,18 @@
 #include "daemon/process_frame.h"
 
 #include <sodium.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <csignal>
+#include <fstream>
 
 namespace tamaracklatch {
 namespace {
 
+constexpr std::chrono::milliseconds kLogRetry{50};
+
 std::uint64_t RandomNumber() {
   std::uint64_t number = 0;
   while (number == 0) randombytes_buf(&number, sizeof(number));
@@ -30,20 +35,22 @@
   return std::make_unique<timeline_writer>(writer, clock, WallClock);
 }
 
-std::string LevelName(log_level level) {
-  switch (level) {
-    case log_level::kTrace:
-      return "TRACE";
-    case log_level::kDebug:
-      return "DEBUG";
-    case log_level::kInfo:
-      return "INFO";
-    case log_level::kWarning:
-      return "WARN";
-    case log_level::kError:
-      return "ERROR";
-  }
-  return "INFO";
+time_point SteadyClock() {
+  const auto since_start = std::chrono::steady_clock::now().time_since_epoch();
+  return time_point(std::chrono::duration_cast<duration>(since_start));
+}
+
+double Seconds(const timeval& time) {
+  constexpr double kMicrosecond = 1e-6;
+  return static_cast<double>(time.tv_sec) +
+         static_cast<double>(time.tv_usec) * kMicrosecond;
+}
+
+event_log_settings LogSettings(const process_settings& settings) {
+  event_log_settings log;
+  log.source = {settings.name, settings.zone, ""};
+  log.level = settings.level;
+  return log;
 }
 
 }  // namespace
@@ -56,19 +63,24 @@
 
 // Work that is done again and again.
 struct process_frame::ticker {
-  ticker(asio::io_context* loop, std::chrono::milliseconds every,
+  ticker(process_frame* of, std::chrono::milliseconds every,
          std::function<void()> what)
-      : timer(*loop), interval(every), work(std::move(what)) {}
+      : frame(of), timer(of->loop_), interval(every), work(std::move(what)) {}
 
   void Schedule() {
     timer.expires_after(interval);
     timer.async_wait([this](asio::error_code error) {
       if (error) return;
+      frame->counts_.Observe(
+          "tamaracklatch_timer_delay_seconds",
+          "How late timers of the event loop fire, in seconds.",
+          asio::steady_timer::clock_type::now() - timer.expiry());
       work();
       Schedule();
     });
   }
 
+  process_frame* frame;
   asio::steady_timer timer;
   std::chrono::milliseconds interval;
   std::function<void()> work;
@@ -78,12 +90,24 @@
                              process_role role)
     : settings_(settings),
       signals_(loop_, SIGTERM, SIGINT),
+      reload_signals_(loop_),
       random_(RandomNumber()),
-      counts_(settings.name, settings.zone) {
-  StartLog(LevelName(settings.level));
+      counts_(settings.name, settings.zone),
+      log_timer_(loop_) {
+  // A reader of the log that ends must not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
   timeline_ = OpenTimeline(settings, &clock_.clock());
-  log_ = std::make_unique<event_log>(settings.name, &counts_, timeline_.get());
+  log_ = std::make_unique<event_log>(
+      LogSettings(settings), &counts_,
+      [] {
+        return log_time{SteadyClock(), WallClock()};
+      },
+      [this] { asio::post(loop_, [this] { FlushLog(); }); });
+  log_->SetNext(timeline_.get());
   links_.key = settings.link_key;
+  links_.heartbeat_interval = settings.link_heartbeat;
+  links_.silence_limit = settings.link_silence;
+  links_.connect_limit = settings.link_connect;
   links_.self = {settings.name, settings.vm, settings.zone, role,
                  incarnation{RandomNumber()}};
 }
@@ -94,13 +118,15 @@
                               failure* last_failure) {
   const auto serve = [this, handler = std::move(handler)](
                          const http_request& request, const http_reply& reply) {
-    if (request.path == "/metrics")
+    if (request.path == "/metrics") {
+      CountUsage();
       return reply({200, "text/plain; version=0.0.4", {}, counts_.Text()});
+    }
     if (handler) return handler(request, reply);
     reply({404, "text/plain", {}, "no such page\n"});
   };
-  http_ = std::make_unique<http_server>(&loop_, serve);
-  return http_->Start(where, last_failure);
+  http_.push_back(std::make_unique<http_server>(&loop_, serve));
+  return http_.back()->Start(where, last_failure);
 }
 
 void process_frame::Run(std::function<void()> on_stop) {
@@ -110,31 +136,74 @@
         if (error) return;
         if (stopping_) return Stop();
         stopping_ = true;
-        events().OnEvent(
-            {event_id::kProcessStopping, {}, {}, {}, {}, {}, {}, {}, {}});
+        SayProcess(event_id::kProcessStopping, "");
         signals_.async_wait(on_signal);
         on_stop_();
       };
   signals_.async_wait(on_signal);
-  events().OnEvent(
-      {event_id::kProcessStarted, {}, {}, {}, {}, {}, {}, {}, "version 0.1.0"});
+  SayProcess(event_id::kProcessStarted, "version 0.1.0");
   loop_.run();
-  events().OnEvent({event_id::kProcessStopped, {}, {}, {}, {}, {}, {}, {}, {}});
+  SayProcess(event_id::kProcessStopped, "");
+}
+
+// What the process uses, as the system says.
+void process_frame::CountUsage() {
+  rusage usage{};
+  if (getrusage(RUSAGE_SELF, &usage) == 0) {
+    counts_.SetTotal("process_cpu_seconds_total",
+                     "Processor time since the start.",
+                     Seconds(usage.ru_utime) + Seconds(usage.ru_stime));
+  }
+  std::ifstream memory("/proc/self/statm");
+  std::uint64_t size = 0;
+  std::uint64_t resident = 0;
+  if (memory >> size >> resident) {
+    counts_.Set("process_resident_memory_bytes", "Resident memory.",
+                static_cast<double>(resident) *
+                    static_cast<double>(sysconf(_SC_PAGESIZE)));
+  }
+}
+
+void process_frame::FlushLog() {
+  if (log_->Flush()) return;
+  log_timer_.expires_after(kLogRetry);
+  log_timer_.async_wait([this](asio::error_code error) {
+    if (!error) FlushLog();
+  });
+}
+
+void process_frame::SayProcess(event_id id, const std::string& detail) {
+  event what;
+  what.id = id;
+  what.detail = detail;
+  events().OnEvent(what);
 }
 
 void process_frame::Stop() { loop_.stop(); }
 
+void process_frame::OnReload(std::function<void()> work) {
+  const bool first = !on_reload_;
+  on_reload_ = std::move(work);
+  if (!first) return;
+  reload_signals_.add(SIGHUP);
+  WaitForReload();
+}
+
+void process_frame::WaitForReload() {
+  reload_signals_.async_wait([this](asio::error_code error, int) {
+    if (error) return;
+    on_reload_();
+    WaitForReload();
+  });
+}
+
 void process_frame::Every(std::chrono::milliseconds interval,
                           std::function<void()> work) {
-  tickers_.push_back(
-      std::make_unique<ticker>(&loop_, interval, std::move(work)));
+  tickers_.push_back(std::make_unique<ticker>(this, interval, std::move(work)));
   tickers_.back()->Schedule();
 }
 
-time_point process_frame::Now() const {
-  const auto since_start = std::chrono::steady_clock::now().time_since_epoch();
-  return time_point(std::chrono::duration_cast<duration>(since_start));
-}
+time_point process_frame::Now() const { return SteadyClock(); }
 
 wall_time process_frame::WallNow() const { return WallClock(); }
 
--- a/src/daemon/process_frame.h
+++ b/src/daemon/process_frame.h
@@ -39,7 +39,7 @@
   process_frame& operator=(const process_frame&) = delete;
 
   // Serves /metrics at `where`, and everything else by `handler`, which may be
-  // empty.
+  // empty. May be called for several endpoints.
   bool ServeHttp(const endpoint& where, http_handler handler,
                  failure* last_failure);
 
@@ -48,6 +48,9 @@
   void Run(std::function<void()> on_stop);
   void Stop();
 
+  // Calls `work` on each SIGHUP.
+  void OnReload(std::function<void()> work);
+
   // Calls `work` every `interval` for as long as the process runs.
   void Every(std::chrono::milliseconds interval, std::function<void()> work);
 
@@ -56,7 +59,7 @@
 
   asio::io_context& loop() { return loop_; }
   metrics& counts() { return counts_; }
-  event_listener& events() { return *log_; }
+  event_log& events() { return *log_; }
   link_clock& clock() { return clock_; }
   random_source& random() { return random_; }
   const link_settings& links() const { return links_; }
@@ -65,19 +68,27 @@
  private:
   struct ticker;
 
+  void WaitForReload();
+  void CountUsage();
+  void FlushLog();
+  void SayProcess(event_id id, const std::string& detail);
+
   process_settings settings_;
   asio::io_context loop_;
   asio::signal_set signals_;
+  asio::signal_set reload_signals_;
   random_source random_;
   metrics counts_;
   process_clock clock_;
   std::unique_ptr<timeline_writer>
       timeline_;  // null where the settings name no file
   std::unique_ptr<event_log> log_;
+  asio::steady_timer log_timer_;  // tries again while lines wait
   link_settings links_;
-  std::unique_ptr<http_server> http_;
+  std::vector<std::unique_ptr<http_server>> http_;
   std::vector<std::unique_ptr<ticker>> tickers_;
   std::function<void()> on_stop_;
+  std::function<void()> on_reload_;
   bool stopping_ = false;
 };
 
