--- a/include/tamaracklatch/consensus/consensus_settings.h
+++ b/include/tamaracklatch/consensus/consensus_settings.h
@@ -47,8 +47,10 @@
   // A snapshot is taken after this many bytes of log, or as many as the last
   // snapshot has.
   std::size_t snapshot_log_bytes = 4096 * 1024;
-  // Entries kept behind a snapshot for followers that lag a little.
+  // Entries kept behind a snapshot for followers that lag a little, and how
+  // many bytes they may have.
   std::size_t kept_entries = 4096;
+  std::size_t kept_bytes = 4096 * 1024;
   // A learner this near to the end of the log becomes a voter.
   std::size_t promotion_gap = 64;  // entries
 };
--- a/include/tamaracklatch/consensus/replicated_log.h
+++ b/include/tamaracklatch/consensus/replicated_log.h
@@ -45,6 +45,11 @@
   std::vector<log_entry> Slice(revision first, std::size_t count,
                                std::size_t max_bytes) const;
 
+  // The last entry before a tail that ends with `index` and has at most `count`
+  // entries and `max_bytes`; at least base().
+  revision BeforeTail(revision index, std::size_t count,
+                      std::size_t max_bytes) const;
+
   // The first entry of the run of equal terms that holds `index`, or base()+1.
   revision FirstOfTerm(revision index) const;
 
--- a/src/consensus/consensus_node.cc
+++ b/src/consensus/consensus_node.cc
@@ -210,9 +210,10 @@
       input.index, *term, log_.ConfigurationAt(input.index), input.data});
   snapshot_dirty_ = true;
   // A tail of the log stays for followers that lag a little.
-  const std::uint64_t kept = settings_.kept_entries;
-  if (input.index.value > log_.base().value + kept) {
-    log_.CompactThrough({input.index.value - kept});
+  const revision before = log_.BeforeTail(input.index, settings_.kept_entries,
+                                          settings_.kept_bytes);
+  if (before > log_.base()) {
+    log_.CompactThrough(before);
     compact_dirty_ = log_.base();
   }
   Report(event_id::kSnapshotTaken, fmt::format("{} bytes", input.data.size()));
--- a/src/consensus/replicated_log.cc
+++ b/src/consensus/replicated_log.cc
@@ -93,6 +93,18 @@
   return result;
 }
 
+revision replicated_log::BeforeTail(revision index, std::size_t count,
+                                    std::size_t max_bytes) const {
+  std::size_t kept = 0;
+  revision before = index;
+  while (before > base_ && index.value - before.value < count) {
+    kept += EntryBytes(At(before));
+    if (kept > max_bytes) break;
+    --before.value;
+  }
+  return before;
+}
+
 revision replicated_log::FirstOfTerm(revision index) const {
   const log_term term = At(index).term;
   const auto first = std::partition_point(
--- a/tests/consensus/schedule_world.cc
+++ b/tests/consensus/schedule_world.cc
@@ -170,6 +170,7 @@
   settings_.max_in_flight_messages = 1 + Draw(4);
   settings_.snapshot_log_bytes = 300 + Draw(3000);
   settings_.kept_entries = Draw(12);
+  settings_.kept_bytes = Draw(2) == 0 ? Draw(3000) : 1000 * 1000;
   settings_.promotion_gap = Draw(4);
   settings_.snapshot_chunk_bytes = 20 + Draw(100);
   settings_.max_in_flight_snapshot = 20 + Draw(200);
