--- a/src/consensus/consensus_node.cc
+++ b/src/consensus/consensus_node.cc
@@ -225,6 +225,7 @@
   snapshot_ = std::make_shared<const log_snapshot>(log_snapshot{
       input.index, *term, log_.ConfigurationAt(input.index), input.data});
   snapshot_dirty_ = true;
+  // A tail of the log stays for followers that lag a little.
   const revision kept = KeptAfter(input.index);
   if (kept > log_.base()) {
     log_.CompactThrough(kept);
@@ -235,16 +236,9 @@
 
 // A tail of the log stays for followers that lag a little.
 revision consensus_node::KeptAfter(revision index) const {
-  revision kept = index;
-  std::size_t bytes = 0;
-  kept = std::min(kept, revision{unsaved_.value - 1});
-  while (kept > log_.base() &&
-         index.value - kept.value < settings_.kept_entries) {
-    bytes += EntryBytes(log_.At(kept));
-    if (bytes > settings_.kept_bytes) break;
-    kept = {kept.value - 1};
-  }
-  return kept;
+  const revision before =
+      log_.BeforeTail(index, settings_.kept_entries, settings_.kept_bytes);
+  return std::min(before, revision{unsaved_.value - 1});
 }
 
 void consensus_node::On(const batch_persisted& input) {
