--- a/src/steering/segment_owner.cc
+++ b/src/steering/segment_owner.cc
@@ -274,6 +274,7 @@
   const bool is_lost =
       flow != nullptr && (flow->phase == flow_phase::kClaimed ||
                           flow->phase == flow_phase::kDoubted);
+  const bool has_closed = flow != nullptr && flow->target_finished;
   if (flow != nullptr && flow->phase != flow_phase::kDropped)
     Forget(*flow, result_code::kFlowLost);
   if (!is_lost) {
@@ -282,7 +283,9 @@
   }
   // The caller took this target's answer, so nobody else holds the flow.
   TellNotHere(steering_kind::kUnknown, header, actions);
-  if (what.tcp.rst) {
+  // A target that has closed its end may be done with a flow that its caller
+  // still sees as open.
+  if (what.tcp.rst || has_closed) {
     Discard(result_code::kFlowLost, actions);
     return;
   }
