--- a/src/daemon/steering_balancer.cc
+++ b/src/daemon/steering_balancer.cc
@@ -61,6 +61,7 @@
                }) {}
 
 int steering_balancer::Run(http_handler handler) {
+  frame_.events().SetNode(ToString(settings_.cluster));
   failure why;
   const bool started =
       frame_.ServeHttp(settings_.listen_http, std::move(handler), &why) &&
--- a/src/daemon/steering_control.cc
+++ b/src/daemon/steering_control.cc
@@ -73,6 +73,7 @@
 }
 
 int steering_control::Run(http_handler handler) {
+  frame_.events().SetNode(ToString(settings_.cluster));
   failure why;
   const bool started =
       consensus_.Start(&why) && hub_.Listen(settings_.cluster, &why) &&
--- a/src/daemon/steering_target.cc
+++ b/src/daemon/steering_target.cc
@@ -68,6 +68,7 @@
                 }) {}
 
 int steering_target::Run(const http_handler& handler) {
+  frame_.events().SetNode(tamaracklatch::ToString(settings_.cluster));
   failure why;
   const bool started =
       frame_.ServeHttp(settings_.listen_http, handler, &why) &&
