Read settings in parts; let the cache of owners grow with the flows

Cause: massif: ReadFile zeroed a text of 1 MB at each read, kept twice and made anew each second; the cache of owners had its full size (1.5 MB) from the start, the memory of deliveries 0.5 MB.

--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <fstream>
 #include <iterator>
 
@@ -13,6 +14,7 @@
 namespace {
 
 constexpr std::size_t kMaxVoters = 7;
+constexpr std::size_t kReadBytes = 4096;       // of a file at a time
 constexpr std::size_t kLeastTokenLength = 16;  // characters
 constexpr std::uint64_t kMaxCapacity = 4096;   // slots
 constexpr std::uint64_t kLeastFlowCache = 1024;
@@ -304,14 +306,16 @@
                                     failure* last_failure) {
   std::ifstream file(path, std::ios::binary);
   std::string text;
-  text.resize(kMaxSettingsBytes + 1);
-  file.read(text.data(), static_cast<std::streamsize>(text.size()));
+  std::array<char, kReadBytes> part{};
+  while (text.size() <= kMaxSettingsBytes && file.good()) {
+    file.read(part.data(), part.size());
+    text.append(part.data(), static_cast<std::size_t>(file.gcount()));
+  }
   if (!file.is_open() || file.bad()) {
     SetFailure(last_failure, result_code::kSettingsFileUnreadable,
                fmt::format("\"{}\" can't be read", path));
     return std::nullopt;
   }
-  text.resize(static_cast<std::size_t>(file.gcount()));
   if (text.size() > kMaxSettingsBytes) {
     SetFailure(
         last_failure, result_code::kDocumentTooLarge,
--- a/src/steering/delivery_memory.h
+++ b/src/steering/delivery_memory.h
@@ -36,7 +36,7 @@
     steering_header header;
   };
 
-  static constexpr std::size_t kEntries = 4096;
+  static constexpr std::size_t kEntries = 512;
 
   std::vector<entry> entries_;
   std::uint32_t next_ = 0;
--- a/src/steering/hint_cache.cc
+++ b/src/steering/hint_cache.cc
@@ -12,12 +12,14 @@
           .count());
 }
 
+constexpr std::size_t kFirstSets = 128;
+
 }  // namespace
 
-hint_cache::hint_cache(std::size_t max_entries) {
-  std::size_t sets = 1;
-  while (sets * kWays < max_entries) sets *= 2;
-  sets_.resize(sets);
+hint_cache::hint_cache(std::size_t max_entries)
+    : max_entries_(max_entries), sets_(1) {
+  while (sets_.size() < kFirstSets && sets_.size() * kWays < max_entries_)
+    sets_.resize(sets_.size() * 2);
 }
 
 const hint_cache::entry* hint_cache::Find(std::uint64_t flow, time_point now) {
@@ -31,10 +33,16 @@
 
 void hint_cache::Put(std::uint64_t flow, target_index target,
                      std::uint64_t target_start, time_point now) {
-  way_set& ways = SetOf(flow);
+  const std::size_t room = sets_.size() * kWays;
+  if (room < max_entries_ && size_ * 2 >= room) Grow();
+  Insert({flow, target_start, target, SecondOf(now)});
+}
+
+void hint_cache::Insert(const entry& added) {
+  way_set& ways = SetOf(added.flow);
   entry* place = nullptr;
   for (entry& each : ways) {
-    if (each.target != kNoTargetIndex && each.flow == flow) place = &each;
+    if (each.target != kNoTargetIndex && each.flow == added.flow) place = &each;
   }
   if (place == nullptr) {
     place = &*std::min_element(
@@ -46,7 +54,18 @@
         });
     if (place->target == kNoTargetIndex) ++size_;
   }
-  *place = {flow, target_start, target, SecondOf(now)};
+  *place = added;
+}
+
+void hint_cache::Grow() {
+  std::vector<way_set> before(sets_.size() * 2);
+  before.swap(sets_);
+  size_ = 0;
+  for (const way_set& ways : before) {
+    for (const entry& each : ways) {
+      if (each.target != kNoTargetIndex) Insert(each);
+    }
+  }
 }
 
 void hint_cache::Remove(std::uint64_t flow) {
--- a/src/steering/hint_cache.h
+++ b/src/steering/hint_cache.h
@@ -1,5 +1,5 @@
-// Which target owns a flow, as target daemons told. Bounded; the entries of a
-// set that were used least recently go first.
+// Which target owns a flow, as target daemons told. Grows with the flows up
+// to a bound; then the entries of a set that were used least recently go first.
 #pragma once
 
 #include <array>
@@ -37,7 +37,13 @@
     return sets_[flow >> 16U & (sets_.size() - 1)];
   }
 
-  std::vector<way_set> sets_;  // a power of two
+  void Insert(const entry& added);
+  // Doubles the room.
+  void Grow();
+
+  std::size_t max_entries_;
+  // Invariant: a power of two, grown while half of the room is taken.
+  std::vector<way_set> sets_;
   std::size_t size_ = 0;
 };
 
