Tag visited targets by 32 bits

Ruled out: a stale roster (the daemon that passed the opening on ended the search), a dropped claim (no event 2453). Test: tags_of_an_installation_differ, which fails with 16 bits.

--- a/include/tamaracklatch/steering/segment_owner.h
+++ b/include/tamaracklatch/steering/segment_owner.h
@@ -153,7 +153,7 @@
   const segment_codec* codec_;
   event_listener* listener_;
   std::uint32_t service_;  // ServiceTag
-  std::uint16_t node_;     // NodeTag
+  std::uint32_t node_;     // NodeTag
   target_status status_;
   std::uint64_t target_start_ = 0;  // the last that was told, or 0
   time_point target_told_;          // when the target was reported last
--- a/include/tamaracklatch/steering/steering_header.h
+++ b/include/tamaracklatch/steering/steering_header.h
@@ -22,7 +22,7 @@
 // Stands for a service or a target's endpoint in a header: equal values on
 // every node.
 std::uint32_t ServiceTag(std::string_view service);
-std::uint16_t NodeTag(const endpoint& where);
+std::uint32_t NodeTag(const endpoint& where);
 
 enum class steering_kind : std::uint8_t {
   kSegment = 1,  // towards a target
@@ -53,12 +53,12 @@
   std::uint8_t visit_count = 0;
   // services[0] is the one chosen for the flow; an opening goes to no other.
   std::array<std::uint32_t, kMaxSteeringServices> services{};
-  std::array<std::uint16_t, kMaxSteeringVisits> visits{};
+  std::array<std::uint32_t, kMaxSteeringVisits> visits{};
 
   bool HasService(std::uint32_t service) const;
-  bool HasVisited(std::uint16_t node) const;
+  bool HasVisited(std::uint32_t node) const;
   // Appends a visit; false where the list is full.
-  bool AddVisit(std::uint16_t node);
+  bool AddVisit(std::uint32_t node);
 };
 
 // Appends the header to `bytes`; the segment follows it.
--- a/src/steering/steering_header.cc
+++ b/src/steering/steering_header.cc
@@ -2,7 +2,7 @@
 //   magic 1, flags 1 (kind, confirmed, uncertain, IPv6, version), flow 8,
 //   balancer 6 or 18, set version 8, sender load 4, possible owners 1,
 //   services 1, visits 1, target start 8 (kOwner only), the services 4 each,
-//   the visits 2 each.
+//   the visits 4 each.
 #include "tamaracklatch/steering/steering_header.h"
 
 #include <algorithm>
@@ -27,7 +27,7 @@
 
 constexpr std::size_t kV4Offset = 12;  // of an IPv4 address in its mapped form
 constexpr std::size_t kMaxBytes =
-    64 + 4 * kMaxSteeringServices + 2 * kMaxSteeringVisits;
+    64 + 4 * (kMaxSteeringServices + kMaxSteeringVisits);
 
 std::uint8_t FlagsOf(const steering_header& header) {
   auto flags = static_cast<std::uint8_t>(header.kind);
@@ -49,8 +49,8 @@
   return static_cast<std::uint32_t>(HashText(service));
 }
 
-std::uint16_t NodeTag(const endpoint& where) {
-  return static_cast<std::uint16_t>(HashEndpoint(where) >> 48U);
+std::uint32_t NodeTag(const endpoint& where) {
+  return static_cast<std::uint32_t>(HashEndpoint(where) >> 32U);
 }
 
 bool steering_header::HasService(std::uint32_t service) const {
@@ -58,12 +58,12 @@
   return std::find(services.begin(), end, service) != end;
 }
 
-bool steering_header::HasVisited(std::uint16_t node) const {
+bool steering_header::HasVisited(std::uint32_t node) const {
   const auto* end = visits.begin() + visit_count;
   return std::find(visits.begin(), end, node) != end;
 }
 
-bool steering_header::AddVisit(std::uint16_t node) {
+bool steering_header::AddVisit(std::uint32_t node) {
   if (visit_count == kMaxSteeringVisits) return false;
   visits[visit_count++] = node;
   return true;
@@ -146,7 +146,7 @@
   for (std::size_t at = 0; reader.ok() && at < header.service_count; ++at)
     header.services[at] = reader.Read<std::uint32_t>();
   for (std::size_t at = 0; reader.ok() && at < header.visit_count; ++at)
-    header.visits[at] = reader.Read<std::uint16_t>();
+    header.visits[at] = reader.Read<std::uint32_t>();
   if (!reader.ok()) {
     return Refuse(last_failure, result_code::kEnvelopeTruncated,
                   "shorter than its steering header says");
--- a/src/steering/target_directory.cc
+++ b/src/steering/target_directory.cc
@@ -137,12 +137,12 @@
 
 bool target_directory::AllVisited(const steering_header& header,
                                   time_point now) const {
-  std::array<std::uint16_t, kMaxSteeringVisits> nodes{};
+  std::array<std::uint32_t, kMaxSteeringVisits> nodes{};
   if (search_.size() > nodes.size()) return false;
   std::size_t count = 0;
   for (const auto* list : {&search_.alive, &search_.silent}) {
     for (const target_index index : *list) {
-      const std::uint16_t node = targets_[index].node;
+      const std::uint32_t node = targets_[index].node;
       if (!header.HasVisited(node)) return false;
       if (now - targets_[index].known_since < kStartSettles) return false;
       nodes[count++] = node;
--- a/src/steering/target_directory.h
+++ b/src/steering/target_directory.h
@@ -22,7 +22,7 @@
 struct directory_target {
   endpoint where;
   std::uint64_t hash = 0;     // of the endpoint
-  std::uint16_t node = 0;     // NodeTag
+  std::uint32_t node = 0;     // NodeTag
   std::uint32_t service = 0;  // ServiceTag
   bool own_zone = false;
   node_liveness liveness = node_liveness::kAlive;
--- a/tests/steering/steering_header_test.cc
+++ b/tests/steering/steering_header_test.cc
@@ -17,7 +17,7 @@
     for (std::uint8_t& byte : where.address.bytes)
       byte = *rc::gen::arbitrary<std::uint8_t>();
   }
-  where.port = *rc::gen::arbitrary<std::uint16_t>();
+  where.port = *rc::gen::arbitrary<std::uint32_t>();
   return where;
 }
 
@@ -39,7 +39,7 @@
     header.services[at] = *rc::gen::arbitrary<std::uint32_t>();
   const auto visits = *rc::gen::inRange<std::size_t>(0, kMaxSteeringVisits + 1);
   for (std::size_t at = 0; at < visits; ++at)
-    header.AddVisit(*rc::gen::arbitrary<std::uint16_t>());
+    header.AddVisit(*rc::gen::arbitrary<std::uint32_t>());
   return header;
 }
 
--- a/tests/steering/target_directory_test.cc
+++ b/tests/steering/target_directory_test.cc
@@ -1,6 +1,9 @@
 // Tests of the order in which the owner of a flow is searched.
 #include "steering/target_directory.h"
 
+#include <set>
+#include <unordered_map>
+
 #include "steering/segments.h"
 #include "support/property.h"
 
@@ -154,19 +157,30 @@
   cr_assert(!directory.AllVisited(header, kSettled));
 }
 
+// Sixteen bits were too few: two of fourteen targets shared a tag, and the
+// search for the flows of one ended at the other.
+Test(directory, tags_of_an_installation_differ) {
+  std::set<std::uint32_t> tags;
+  constexpr std::uint32_t kTargets = 2000;
+  for (std::uint32_t zone = 1; zone <= 4; ++zone) {
+    for (std::uint32_t number = 0; number < kTargets / 4; ++number) {
+      const endpoint where{MakeV4(10U << 24U | zone << 16U | number), 7360};
+      cr_expect(tags.insert(NodeTag(where)).second);
+    }
+  }
+}
+
 Test(directory, sees_that_two_targets_share_a_tag) {
-  // More targets than tags leave no doubt that two share one.
   target_directory directory("a", kMaxFlowAge);
   std::uint32_t number = 0;
   std::uint32_t twin = 0;
-  std::vector<std::uint32_t> seen(65536, UINT32_MAX);
+  std::unordered_map<std::uint32_t, std::uint32_t> seen;
   for (;; ++number) {
-    std::uint32_t& first = seen[NodeTag(test::DaemonAt(number))];
-    if (first != UINT32_MAX) {
-      twin = first;
-      break;
-    }
-    first = number;
+    const auto [first, is_new] =
+        seen.try_emplace(NodeTag(test::DaemonAt(number)), number);
+    if (is_new) continue;
+    twin = first->second;
+    break;
   }
   directory.Update(TargetAt(number, "web"), kStart);
   steering_header header = HeaderOf(1);
