Confirm openings only once none from before the own start can be under way

Failed try, not kept: trusting the visits of target daemons that just started for segments that open nothing.

--- a/include/tamaracklatch/steering/segment_router.h
+++ b/include/tamaracklatch/steering/segment_router.h
@@ -116,6 +116,8 @@
   steering_header MakeHeader(const route& by, std::size_t share,
                              std::uint64_t flow, duration flow_age,
                              time_point now) const;
+  steering_header MakeOpeningHeader(const route& by, std::size_t share,
+                                    std::uint64_t flow, time_point now) const;
   steering_decision RouteOpening(const route& by, const segment& what,
                                  std::uint64_t flow, time_point now);
   steering_decision RouteOther(const route& by, const segment& what,
--- a/src/daemon/steering_control.cc
+++ b/src/daemon/steering_control.cc
@@ -187,8 +187,8 @@
   const set_answer_handler reply = std::move(found->second);
   orders_.erase(found);
   event what;
-  what.id = action.code == result_code::kOk ? event_id::kSetAccepted
-                                            : event_id::kSetRefused;
+  const bool is_acknowledged = set_gate::HttpStatus(action.code) == 200;
+  what.id = is_acknowledged ? event_id::kSetAccepted : event_id::kSetRefused;
   what.code = action.code;
   what.detail =
       fmt::format("version {}, held {}", action.version, action.held_version);
--- a/src/steering/segment_router.cc
+++ b/src/steering/segment_router.cc
@@ -211,6 +211,17 @@
   return header;
 }
 
+// A flow whose opening may still be under way from before the own start is not
+// known here.
+steering_header segment_router::MakeOpeningHeader(const route& by,
+                                                  std::size_t share,
+                                                  std::uint64_t flow,
+                                                  time_point now) const {
+  steering_header header = MakeHeader(by, share, flow, kOpeningAge, now);
+  if (now - first_set_ < kOpeningAge) header.confirmed = false;
+  return header;
+}
+
 // ---- openings ----
 
 steering_decision segment_router::RouteOpening(const route& by,
@@ -242,10 +253,10 @@
       listener_->OnEvent(placed);
     }
     sent_[target] = {SentOpenings(target, now) + 1.0, now};
-    return Forward(target, MakeHeader(by, share, flow, kOpeningAge, now));
+    return Forward(target, MakeOpeningHeader(by, share, flow, now));
   }
   // The target daemons know whether the flow is open, and may refuse it.
-  const steering_header header = MakeHeader(by, chosen, flow, kOpeningAge, now);
+  const steering_header header = MakeOpeningHeader(by, chosen, flow, now);
   const owner_search& search = targets_->ListOwners(header, now);
   if (what.copy > 0 || search.alive.empty())
     return Drop(result_code::kNoTarget);
