Take copies of openings after a start together with the target

The bound is for a daemon that starts beside a target that lived on, whose predecessor may have passed a copy on.

--- a/src/steering/segment_owner.cc
+++ b/src/steering/segment_owner.cc
@@ -175,9 +175,11 @@
     PassOpening(header, what, result_code::kNotThisTarget, false, now, actions);
     return;
   }
-  // A daemon that was here before may have passed the first copy on.
-  const bool is_promised = passed_->Has(header.flow, now) ||
-                           (what.copy > 0 && now - started_ < kPromiseTime);
+  // A daemon that was here before, beside the same target, may have passed the
+  // first copy on.
+  const bool is_promised =
+      passed_->Has(header.flow, now) ||
+      (what.copy > 0 && now - started_ < kPromiseTime && IsBlind(now));
   const result_code why = is_promised ? result_code::kTargetFull : WhyNot();
   if (why != result_code::kOk) {
     PassOpening(header, what, why, false, now, actions);
