--- a/tests/consensus/consensus_node_test.cc
+++ b/tests/consensus/consensus_node_test.cc
@@ -369,6 +369,19 @@
   cr_assert(a.node.log().configuration().IsLearner(kC));
 }
 
+Test(consensus_healing, three_founders_grow_to_a_goal_of_five) {
+  const member_id e{"e", {6}};
+  driven_node a(Stored(Configuration({kA, kB, kC})), {}, 5);
+  a.Lead({kB});
+  a.Follow(kB);
+  for (const member_id& id : {kD, e}) {
+    a.Input(message_received{{{}, id, {"a", {}}, join_request{1, 0}}});
+    a.Calm({kB, kC, kD, e}, seconds(1));
+  }
+  cr_assert_eq(a.node.log().configuration().voters.size(), 5u);
+  cr_assert(a.node.log().configuration().learners.empty());
+}
+
 Test(consensus_healing, a_newcomer_that_did_not_catch_up_replaces_nobody) {
   driven_node a(Stored(Configuration({kA, kB, kC})), {}, 3);
   a.Lead({kB});
