Let a member stand for election soon after its start

Cause: after a start each control VM kept from voting for a whole election timeout, for what its past life may have promised to a leader. No read counts on that promise any more: each is confirmed by a round that began after it was asked. The pre-vote keeps a starting member from disturbing a leader that lives.

--- a/include/tamaracklatch/consensus/consensus_node.h
+++ b/include/tamaracklatch/consensus/consensus_node.h
@@ -279,9 +279,7 @@
 
   consensus_role role_ = consensus_role::kBlank;
   std::optional<member_id> leader_;
-  time_point leader_contact_;  // the last message from a leader of our term;
-                               // the start counts as one, for what the past
-                               // life may have promised
+  time_point leader_contact_;  // the last message from a leader of our term
   time_point election_deadline_;
   time_point called_until_;  // it may stand though it is no voter
   std::set<member_id> votes_;
--- a/src/consensus/consensus_node.cc
+++ b/src/consensus/consensus_node.cc
@@ -46,7 +46,7 @@
       random_(random),
       now_(now),
       hard_(std::move(stored.hard)),
-      leader_contact_(now),
+      leader_contact_(now - settings_.election_timeout),
       called_until_(now),
       receiver_(settings_.max_snapshot_bytes),
       join_deadline_(now),
@@ -72,7 +72,8 @@
   if (hard_.cluster.value == 0) return;
   role_ = consensus_role::kFollower;
   LoadLog(stored);
-  ResetElectionDeadline();
+  // A leader that lives is heard of sooner; all may have started together.
+  RetryElectionSoon();
 }
 
 void consensus_node::LoadLog(const stored_state& stored) {
