--- a/src/steering/target_directory.cc
+++ b/src/steering/target_directory.cc
@@ -77,6 +77,10 @@
 
 bool target_directory::MayOwn(const directory_target& target,
                               time_point now) const {
+  // A daemon that ended before any target reported to it. One that lived on
+  // beside it would have reported within a heartbeat.
+  if (target.liveness == node_liveness::kSilent && target.last_start == 0)
+    return false;
   if (target.liveness != node_liveness::kGone) return true;
   // The daemon left; its target may live on.
   return !target.HasEnded(target.last_start) &&
--- a/tests/steering/target_directory_test.cc
+++ b/tests/steering/target_directory_test.cc
@@ -157,6 +157,30 @@
   cr_assert(!directory.AllVisited(header, kSettled));
 }
 
+struct owner_row {
+  node_liveness liveness;
+  std::uint64_t target_start;  // 0: no target has reported
+  bool may_own;
+};
+
+Test(directory, lists_no_silent_daemon_that_never_had_a_target) {
+  const owner_row rows[] = {{node_liveness::kAlive, 100, true},
+                            {node_liveness::kAlive, 0, true},
+                            {node_liveness::kSilent, 100, true},
+                            {node_liveness::kSilent, 0, false}};
+  for (const owner_row& row : rows) {
+    target_directory directory("a", kMaxFlowAge);
+    roster_entry entry = TargetAt(1, "web");
+    entry.liveness = row.liveness;
+    entry.record.target_start = row.target_start;
+    entry.record.condition = row.target_start == 0 ? target_condition::kAbsent
+                                                   : target_condition::kReady;
+    directory.Update(entry, kStart);
+    const owner_search& search = directory.ListOwners(HeaderOf(1), kStart);
+    cr_assert((search.size() == 1) == row.may_own);
+  }
+}
+
 // Sixteen bits were too few: two of fourteen targets shared a tag, and the
 // search for the flows of one ended at the other.
 Test(directory, tags_of_an_installation_differ) {
