--- a/src/daemon/roster_agent.cc
+++ b/src/daemon/roster_agent.cc
@@ -8,6 +8,17 @@
 
 namespace tamaracklatch {
 
+node_record MakeOwnRecord(const process_frame& frame, node_role role,
+                          const endpoint& where) {
+  node_record result;
+  result.where = where;
+  result.generation =
+      static_cast<std::uint64_t>(frame.WallNow().time_since_epoch().count());
+  result.role = role;
+  result.zone = frame.self().zone;
+  return result;
+}
+
 roster_agent::roster_agent(process_frame* frame,
                            const roster_member_settings& settings,
                            const node_record& own, roster_listener* listener,
--- a/src/daemon/roster_agent.h
+++ b/src/daemon/roster_agent.h
@@ -22,6 +22,10 @@
   virtual void OnSetReceived(const document_set& set) = 0;
 };
 
+// The own record of a process that starts now.
+node_record MakeOwnRecord(const process_frame& frame, node_role role,
+                          const endpoint& where);
+
 class roster_agent {
  public:
   using segment_handler =
--- a/src/daemon/steering_balancer.cc
+++ b/src/daemon/steering_balancer.cc
@@ -22,17 +22,6 @@
   return result;
 }
 
-node_record OwnRecord(const steering_balancer_settings& settings,
-                      const process_frame& frame) {
-  node_record result;
-  result.where = settings.cluster;
-  result.generation =
-      static_cast<std::uint64_t>(frame.WallNow().time_since_epoch().count());
-  result.role = node_role::kBalancer;
-  result.zone = settings.process.zone;
-  return result;
-}
-
 segment_router_settings RouterSettings(
     const steering_balancer_settings& settings) {
   segment_router_settings result;
@@ -49,7 +38,8 @@
     : settings_(settings),
       codec_(codec),
       frame_(settings.process, process_role::kBalancer),
-      roster_(&frame_, MemberSettings(settings), OwnRecord(settings, frame_),
+      roster_(&frame_, MemberSettings(settings),
+              MakeOwnRecord(frame_, node_role::kBalancer, settings.cluster),
               this,
               [this](const endpoint& from, std::string_view bytes) {
                 OnHint(from, bytes);
--- a/src/daemon/steering_control.cc
+++ b/src/daemon/steering_control.cc
@@ -48,12 +48,8 @@
 
 node_record OwnRecord(const steering_control_settings& settings,
                       const process_frame& frame) {
-  node_record result;
-  result.where = settings.cluster;
-  result.generation =
-      static_cast<std::uint64_t>(frame.WallNow().time_since_epoch().count());
-  result.role = node_role::kControl;
-  result.zone = settings.process.zone;
+  node_record result =
+      MakeOwnRecord(frame, node_role::kControl, settings.cluster);
   result.operators = settings.listen_http;
   return result;
 }
@@ -208,7 +204,8 @@
   const std::uint64_t tag = action.tag;
   consensus_.Propose(action.command, [this, tag](result_code code, revision) {
     if (code == result_code::kOk) return;
-    Perform(gate_.OnProposalRefused(tag, {code, "the log did not take it"}));
+    Perform(
+        gate_.OnProposalRefused(tag, {code, "sending the same again is safe"}));
   });
 }
 
--- a/src/daemon/steering_target.cc
+++ b/src/daemon/steering_target.cc
@@ -29,12 +29,8 @@
 
 node_record OwnRecord(const steering_target_settings& settings,
                       const process_frame& frame) {
-  node_record result;
-  result.where = settings.cluster;
-  result.generation =
-      static_cast<std::uint64_t>(frame.WallNow().time_since_epoch().count());
-  result.role = node_role::kTarget;
-  result.zone = settings.process.zone;
+  node_record result =
+      MakeOwnRecord(frame, node_role::kTarget, settings.cluster);
   result.service = settings.service;
   return result;
 }
