--- a/src/daemon/steering_target.cc
+++ b/src/daemon/steering_target.cc
@@ -214,11 +214,9 @@
   owner_.SetConfirmed(roster_.member().IsInTouch(now));
   owner_.Tick(now, &actions_);
   Perform();
-  if (reports_.Tick(now)) {
+  const bool has_changed = reports_.Tick(now);
+  if (has_changed || owner_.load() != roster_.member().own().load)
     FollowTarget();
-  } else if (owner_.load() != roster_.member().own().load) {
-    FollowTarget();
-  }
   if (!stopping_) return;
   const bool ended = reports_.ended();
   const duration least = ended ? kStopAfterTarget : kStopBesideTarget;
