Count a visit for one start of a target daemon, and no daemon that never had a target

The log says why: 454 searches had asked every daemon and ended without a reset, because no visit of a daemon counts in its first 2 s; later ones were lost at daemons that never had a target and died, which stay possible owners while alive. Change: the tag of a visit names the start of the daemon (endpoint and generation), so what an earlier start said binds no later one, and the 2 s go for all but openings. A daemon says `unreported` until a target reports or the silence bound has passed, then `absent`; an absent daemon without any target since its start owns nothing, in any liveness, and leaves at once when it is stopped. Now each change arrives within the lag, the later one wins, and a VM that was cut off is told all again. The row "2 s after a start" of the directory holds for openings; visits have a row by start.

--- a/include/tamaracklatch/membership/target_reports.h
+++ b/include/tamaracklatch/membership/target_reports.h
@@ -2,14 +2,13 @@
 // which reports to believe: reports may be late, of an earlier start, of
 // another service, or unreadable.
 //
-//   target_reports reports(settings);
+//   target_reports reports(settings, now);
 //   result_code code = reports.OnReport(report, now);
 //   if (reports.Tick(now)) ...;          // the status may have changed
 //   const target_status& status = reports.status();
 #pragma once
 
 #include <cstdint>
-#include <optional>
 #include <string>
 
 #include "tamaracklatch/core/endpoint.h"
@@ -41,7 +40,8 @@
 // Invariants: the start never falls; within one start draining stays.
 class target_reports {
  public:
-  explicit target_reports(const target_reports_settings& settings);
+  // `now`: the start of the daemon.
+  target_reports(const target_reports_settings& settings, time_point now);
 
   // Takes a report. kOk, kHeartbeatStale or kHeartbeatForeign; all but kOk
   // change nothing.
@@ -54,8 +54,12 @@
   bool Tick(time_point now);
 
   const target_status& status() const { return status_; }
-  // Whether the start that is held said that it ends.
-  bool ended() const { return ended_; }
+  // Whether the start that is held said that it ends, or no target has reported
+  // to this daemon within the silence bound.
+  bool ended() const {
+    return ended_ || (status_.target_start == 0 &&
+                      status_.condition == target_condition::kAbsent);
+  }
   // Whether the start that is held was seen from its first report on.
   bool saw_start() const { return saw_start_; }
 
@@ -66,7 +70,7 @@
   std::uint64_t sequence_ = 0;
   bool ended_ = false;  // the held start said that it ends
   bool saw_start_ = false;
-  std::optional<time_point> heard_;
+  time_point heard_;  // the last report, or the start of the daemon
 };
 
 }  // namespace tamaracklatch
--- a/include/tamaracklatch/roster/node_record.h
+++ b/include/tamaracklatch/roster/node_record.h
@@ -19,9 +19,10 @@
 };
 
 enum class target_condition : std::uint8_t {
-  kAbsent = 0,    // the target has not reported yet, or ended
-  kReady = 1,     // takes new flows
-  kDraining = 2,  // keeps its flows, takes no new ones
+  kAbsent = 0,      // no report for longer than the silence bound, or ended
+  kReady = 1,       // takes new flows
+  kDraining = 2,    // keeps its flows, takes no new ones
+  kUnreported = 3,  // the daemon just started; a target may live beside it
 };
 
 inline std::string_view ToString(target_condition condition) {
@@ -32,6 +33,8 @@
       return "ready";
     case target_condition::kDraining:
       return "draining";
+    case target_condition::kUnreported:
+      return "unreported";
   }
   return "unknown";
 }
--- a/include/tamaracklatch/steering/segment_owner.h
+++ b/include/tamaracklatch/steering/segment_owner.h
@@ -33,6 +33,7 @@
 
 struct segment_owner_settings {
   endpoint self;
+  std::uint64_t generation = 0;  // of the own record
   std::string service;
   zone_name zone;
   std::size_t max_flows = 8192;
@@ -97,6 +98,8 @@
   void OnTargetSegment(const segment& what, time_point now,
                        std::vector<segment_action>* actions);
 
+  // The roster has raised the generation of the own record.
+  void SetGeneration(std::uint64_t generation);
   void SetTarget(const target_status& status, time_point now);
   void UpdateTarget(const roster_entry& entry, time_point now);
   // The bound of the document set in force; 0: none.
@@ -129,7 +132,7 @@
               time_point now, actions* out);
   void EndSearch(const steering_header& header, const segment& what,
                  result_code why, time_point now, actions* out);
-  bool IsNowhereOpen(const steering_header& header, time_point now) const;
+  bool IsNowhereOpen(const steering_header& header) const;
   bool Visit(steering_header* header, bool is_sure, time_point now);
   std::uint32_t LeastLoaded(const steering_header& header);
   result_code WhyNot() const;
@@ -153,7 +156,7 @@
   const segment_codec* codec_;
   event_listener* listener_;
   std::uint32_t service_;  // ServiceTag
-  std::uint32_t node_;     // NodeTag
+  std::uint32_t node_;     // NodeTag of this start
   target_status status_;
   std::uint64_t target_start_ = 0;  // the last that was told, or 0
   time_point target_told_;          // when the target was reported last
--- a/include/tamaracklatch/steering/steering_header.h
+++ b/include/tamaracklatch/steering/steering_header.h
@@ -19,10 +19,11 @@
 // Services among whose targets the owner of a flow is searched.
 inline constexpr std::size_t kMaxSteeringServices = 4;
 
-// Stands for a service or a target's endpoint in a header: equal values on
-// every node.
+// Stands for a service in a header: equal values on every node.
 std::uint32_t ServiceTag(std::string_view service);
-std::uint32_t NodeTag(const endpoint& where);
+// The same for one start of a target daemon, by the generation of its record:
+// what a start said binds no later one.
+std::uint32_t NodeTag(const endpoint& where, std::uint64_t generation);
 
 enum class steering_kind : std::uint8_t {
   kSegment = 1,  // towards a target
--- a/src/daemon/steering_target.cc
+++ b/src/daemon/steering_target.cc
@@ -32,6 +32,7 @@
   node_record result =
       MakeOwnRecord(frame, node_role::kTarget, settings.cluster);
   result.service = settings.service;
+  result.condition = target_condition::kUnreported;
   return result;
 }
 
@@ -56,7 +57,8 @@
               [this](const endpoint&, std::string_view bytes) {
                 OnSteered(bytes);
               }),
-      reports_({settings.service, settings.target, settings.report_silence}),
+      reports_({settings.service, settings.target, settings.report_silence},
+               frame_.Now()),
       owner_(OwnerSettings(settings), codec, frame_.Now(), &frame_.events()),
       outbound_(&frame_.loop(),
                 [this](const endpoint&, std::string_view bytes) {
@@ -76,6 +78,7 @@
     fmt::print(stderr, "{}\n", ToString(why));
     return 1;
   }
+  owner_.SetGeneration(roster_.member().own().generation);
   frame_.Every(kTickInterval, [this] { Tick(); });
   frame_.Run([this] { BeginStop(); });
   return 0;
@@ -211,6 +214,7 @@
 
 void steering_target::Tick() {
   const time_point now = frame_.Now();
+  owner_.SetGeneration(roster_.member().own().generation);
   owner_.SetConfirmed(roster_.member().IsInTouch(now));
   owner_.Tick(now, &actions_);
   Perform();
--- a/src/daemon/steering_target.h
+++ b/src/daemon/steering_target.h
@@ -79,8 +79,8 @@
   udp_port outbound_;
   std::vector<segment_action> actions_;
   std::string buffer_;  // of the datagram being sent
-  target_condition told_ = target_condition::kAbsent;  // in the last event
-  std::optional<time_point> stopping_;                 // when the stop began
+  target_condition told_ = target_condition::kUnreported;  // in the last event
+  std::optional<time_point> stopping_;  // when the stop began
 };
 
 }  // namespace tamaracklatch
--- a/src/membership/target_reports.cc
+++ b/src/membership/target_reports.cc
@@ -10,8 +10,11 @@
 
 }  // namespace
 
-target_reports::target_reports(const target_reports_settings& settings)
-    : settings_(settings) {}
+target_reports::target_reports(const target_reports_settings& settings,
+                               time_point now)
+    : settings_(settings), heard_(now) {
+  status_.condition = target_condition::kUnreported;
+}
 
 result_code target_reports::OnReport(const target_report& report,
                                      time_point now) {
@@ -49,7 +52,7 @@
 
 bool target_reports::Tick(time_point now) {
   if (status_.condition == target_condition::kAbsent) return false;
-  if (now - *heard_ < settings_.silence) return false;
+  if (now - heard_ < settings_.silence) return false;
   status_.condition = target_condition::kAbsent;
   return true;
 }
--- a/src/roster/roster_messages.cc
+++ b/src/roster/roster_messages.cc
@@ -119,7 +119,7 @@
   fits = ReadWhere(reader, &record->operators) && fits;
   record->service = ReadName(reader, &fits);
   record->condition = static_cast<target_condition>(reader->NumberUpTo(
-      static_cast<std::uint64_t>(target_condition::kDraining)));
+      static_cast<std::uint64_t>(target_condition::kUnreported)));
   record->slots = static_cast<std::uint32_t>(reader->NumberUpTo(UINT32_MAX));
   record->load = static_cast<std::uint32_t>(reader->NumberUpTo(UINT32_MAX));
   record->cold_remaining = ReadSpan(reader);
--- a/src/steering/segment_owner.cc
+++ b/src/steering/segment_owner.cc
@@ -53,7 +53,7 @@
       codec_(codec),
       listener_(listener),
       service_(ServiceTag(settings.service)),
-      node_(NodeTag(settings.self)),
+      node_(NodeTag(settings.self, settings.generation)),
       started_(now),
       blind_until_(now + settings.max_flow_age),
       targets_(std::make_unique<target_directory>(settings.zone,
@@ -85,6 +85,12 @@
   flows_->DoubtAll();
 }
 
+void segment_owner::SetGeneration(std::uint64_t generation) {
+  if (generation == settings_.generation) return;
+  settings_.generation = generation;
+  node_ = NodeTag(settings_.self, generation);
+}
+
 void segment_owner::UpdateTarget(const roster_entry& entry, time_point now) {
   targets_->Update(entry, now);
 }
@@ -198,6 +204,7 @@
 // Why the target takes no opening now; kOk: it does.
 result_code segment_owner::WhyNot() const {
   switch (status_.condition) {
+    case target_condition::kUnreported:
     case target_condition::kAbsent:
       return result_code::kNoTarget;
     case target_condition::kDraining:
@@ -415,8 +422,10 @@
                               const segment& what, result_code why,
                               time_point now,
                               std::vector<segment_action>* actions) {
-  const bool may_reset = what.opens() ? what.copy == 0 : !what.tcp.rst;
-  const bool resets = may_reset && IsNowhereOpen(header, now);
+  const bool may_reset = what.opens()
+                             ? what.copy == 0 && targets_->AllSettled(now)
+                             : !what.tcp.rst;
+  const bool resets = may_reset && IsNowhereOpen(header);
   if (!what.opens()) {
     TellNotHere(steering_kind::kUnknown, header, actions);
   } else if (resets) {
@@ -441,12 +450,11 @@
 
 // After Visit: whether every target that may hold the flow has said that it
 // does not.
-bool segment_owner::IsNowhereOpen(const steering_header& header,
-                                  time_point now) const {
+bool segment_owner::IsNowhereOpen(const steering_header& header) const {
   return header.confirmed && confirmed_ && !header.uncertain &&
          header.possible_owners > 0 &&
          header.possible_owners <= header.visit_count &&
-         targets_->AllVisited(header, now);
+         targets_->AllVisited(header);
 }
 
 // ---- outcomes ----
--- a/src/steering/steering_header.cc
+++ b/src/steering/steering_header.cc
@@ -49,8 +49,9 @@
   return static_cast<std::uint32_t>(HashText(service));
 }
 
-std::uint32_t NodeTag(const endpoint& where) {
-  return static_cast<std::uint32_t>(HashEndpoint(where) >> 32U);
+std::uint32_t NodeTag(const endpoint& where, std::uint64_t generation) {
+  return static_cast<std::uint32_t>(HashPair(HashEndpoint(where), generation) >>
+                                    32U);
 }
 
 bool steering_header::HasService(std::uint32_t service) const {
--- a/src/steering/target_directory.cc
+++ b/src/steering/target_directory.cc
@@ -10,7 +10,8 @@
 // A search tries another silent target after this.
 constexpr std::chrono::milliseconds kSilentTurn{150};
 
-// A daemon that started so recently may not stand by what one said before.
+// A daemon that started so recently may have taken a later copy of an opening
+// while the roster that tells of it was still on its way.
 constexpr std::chrono::seconds kStartSettles{2};
 
 constexpr std::size_t kAll = std::numeric_limits<std::size_t>::max();
@@ -33,7 +34,6 @@
     directory_target added;
     added.where = record.where;
     added.hash = HashEndpoint(record.where);
-    added.node = NodeTag(record.where);
     targets_.push_back(added);
   }
   directory_target& target = targets_[place->second];
@@ -45,6 +45,7 @@
   }
   if (is_new || target.generation != record.generation) {
     target.last_start = 0;
+    target.node = NodeTag(record.where, record.generation);
     target.known_since = now;
     last_joined_ = now;
   }
@@ -77,9 +78,8 @@
 
 bool target_directory::MayOwn(const directory_target& target,
                               time_point now) const {
-  // A daemon that ended before any target reported to it. One that lived on
-  // beside it would have reported within a heartbeat.
-  if (target.liveness == node_liveness::kSilent && target.last_start == 0)
+  // A target that lived on beside the daemon would have reported.
+  if (target.condition == target_condition::kAbsent && target.last_start == 0)
     return false;
   if (target.liveness != node_liveness::kGone) return true;
   // The daemon left; its target may live on.
@@ -139,8 +139,16 @@
   return kNoTargetIndex;
 }
 
-bool target_directory::AllVisited(const steering_header& header,
-                                  time_point now) const {
+bool target_directory::AllSettled(time_point now) const {
+  for (const auto* list : {&search_.alive, &search_.silent}) {
+    for (const target_index index : *list) {
+      if (now - targets_[index].known_since < kStartSettles) return false;
+    }
+  }
+  return true;
+}
+
+bool target_directory::AllVisited(const steering_header& header) const {
   std::array<std::uint32_t, kMaxSteeringVisits> nodes{};
   if (search_.size() > nodes.size()) return false;
   std::size_t count = 0;
@@ -148,7 +156,6 @@
     for (const target_index index : *list) {
       const std::uint32_t node = targets_[index].node;
       if (!header.HasVisited(node)) return false;
-      if (now - targets_[index].known_since < kStartSettles) return false;
       nodes[count++] = node;
     }
   }
--- a/src/steering/target_directory.h
+++ b/src/steering/target_directory.h
@@ -22,11 +22,11 @@
 struct directory_target {
   endpoint where;
   std::uint64_t hash = 0;     // of the endpoint
-  std::uint32_t node = 0;     // NodeTag
+  std::uint32_t node = 0;     // NodeTag of this start of the daemon
   std::uint32_t service = 0;  // ServiceTag
   bool own_zone = false;
   node_liveness liveness = node_liveness::kAlive;
-  target_condition condition = target_condition::kAbsent;
+  target_condition condition = target_condition::kUnreported;
   std::uint64_t generation = 0;
   std::uint32_t slots = 1;
   std::uint32_t load = 0;  // in 1/256 of a slot
@@ -89,9 +89,13 @@
   target_index NextOwner(const steering_header& header, const endpoint& self,
                          time_point now) const;
 
-  // After ListOwners: whether all were visited, each visit counts for one
-  // target only, and no daemon has started since the flow's first segment.
-  bool AllVisited(const steering_header& header, time_point now) const;
+  // After ListOwners: whether all were visited, and each visit counts for one
+  // target only.
+  bool AllVisited(const steering_header& header) const;
+
+  // After ListOwners: whether all started before any copy of an opening that
+  // is still under way.
+  bool AllSettled(time_point now) const;
 
  private:
   struct ranked_target {
--- a/tests/steering/segment_owner_test.cc
+++ b/tests/steering/segment_owner_test.cc
@@ -36,6 +36,7 @@
   explicit lone_owner(bool saw_target_start = true) {
     segment_owner_settings settings;
     settings.self = DaemonAt(1);
+    settings.generation = 1;
     settings.service = "web";
     settings.zone = "a";
     owner =
@@ -122,8 +123,8 @@
 // A header that has been at all targets but the first.
 steering_header LastHeader(const flow_key& key) {
   steering_header header = lone_owner::Header(key);
-  header.AddVisit(NodeTag(DaemonAt(2)));
-  header.AddVisit(NodeTag(DaemonAt(3)));
+  header.AddVisit(NodeTag(DaemonAt(2), 1));
+  header.AddVisit(NodeTag(DaemonAt(3), 1));
   return header;
 }
 
@@ -223,7 +224,7 @@
               "%s", each.name);
     if (each.passed == result_code::kOk) continue;
     cr_assert(passed != nullptr && passed->to != DaemonAt(1), "%s", each.name);
-    cr_assert(passed->header.HasVisited(NodeTag(DaemonAt(1))));
+    cr_assert(passed->header.HasVisited(NodeTag(DaemonAt(1), 1)));
     cr_assert(alone.owner->counters().passed.Of(each.passed) == 1, "%s",
               each.name);
   }
@@ -300,7 +301,7 @@
     alone.SetCondition(target_condition::kDraining);
     steering_header header = each.all_visited ? LastHeader(FlowOf(1))
                                               : lone_owner::Header(FlowOf(1));
-    if (!each.all_visited) header.AddVisit(NodeTag(DaemonAt(2)));
+    if (!each.all_visited) header.AddVisit(NodeTag(DaemonAt(2), 1));
     header.confirmed = each.confirmed;
     header.uncertain = each.uncertain;
     header.possible_owners = each.possible;
@@ -432,7 +433,7 @@
   cr_assert(first != nullptr && alone.listener.count == 1);
   header = first->header;
   const endpoint second = first->to == DaemonAt(2) ? DaemonAt(3) : DaemonAt(2);
-  header.AddVisit(NodeTag(first->to));
+  header.AddVisit(NodeTag(first->to, 1));
   alone.Steer(header, SegmentOf(FlowOf(1), 1, "data"));
   cr_assert(alone.Got<pass_segment>()->to == second);
   // One event a flow.
--- a/tests/steering/steering_world.cc
+++ b/tests/steering/steering_world.cc
@@ -12,6 +12,8 @@
 constexpr int kRequests = 3;  // of a flow
 constexpr std::uint32_t kCallerStart = 1000;
 constexpr std::uint32_t kRequestBytes = 10;
+constexpr milliseconds kRosterLag{800};
+constexpr milliseconds kReportSilence{700};
 
 // No set names the last; its targets must get nothing.
 const std::vector<std::string>& Services() {
@@ -32,6 +34,7 @@
 
 struct steering_world::balancer {
   endpoint where;
+  heard_changes heard;
   std::unique_ptr<segment_router> router;
 };
 
@@ -73,6 +76,9 @@
   bool knows_draining = false;  // the daemon was told
   bool dark = false;            // nothing arrives or leaves
   std::uint64_t daemon_number = 0;
+  roster_entry entry;  // what was spread last
+  std::uint64_t changes = 0;
+  heard_changes heard;  // by this start of the daemon
 };
 
 struct steering_world::caller {
@@ -234,6 +240,9 @@
         After(milliseconds(300) + UpTo(seconds(2)), [this, where] {
           where->dark = false;
           Spread(where, node_liveness::kAlive);
+          for (const auto& each : slots_) {
+            if (each->changes > 0) TellDaemon(where, *each);
+          }
           After(seconds(1), [where, number = where->daemon_number] {
             if (where->daemon_number == number)
               where->daemon->SetConfirmed(!where->dark);
@@ -279,6 +288,8 @@
   }
   segment_owner_settings settings;
   settings.self = where->where;
+  settings.generation =
+      static_cast<std::uint64_t>(now_.time_since_epoch().count());
   settings.service = where->record.service;
   settings.zone = "a";
   settings.max_flow_age = seconds(30);
@@ -286,6 +297,7 @@
   where->daemon = std::make_unique<segment_owner>(settings, &codec_, now_,
                                                   where->listener.get());
   where->daemon->SetConfirmed(false);
+  where->heard.clear();
   const std::uint64_t number = ++where->daemon_number;
   After(seconds(1), [where, number] {
     if (where->daemon_number == number)
@@ -296,23 +308,23 @@
   where->record.where = where->where;
   where->record.zone = "a";
   where->record.slots = 2;
-  where->record.condition = target_condition::kAbsent;
+  where->record.condition = target_condition::kUnreported;
   where->record.target_start = 0;
-  where->record.generation =
-      static_cast<std::uint64_t>(now_.time_since_epoch().count());
+  where->record.generation = settings.generation;
   Spread(where, node_liveness::kAlive);
   // The roster reaches a daemon that starts, too.
   for (const auto& each : slots_) {
     if (each->daemon == nullptr) continue;
-    After(UpTo(milliseconds(800)), [this, where, number, from = each.get()] {
-      if (where->daemon_number != number) return;
-      roster_entry entry;
-      entry.record = from->record;
-      entry.learned = now_;
-      where->daemon->UpdateTarget(entry, now_);
-    });
+    TellDaemon(where, *each);
   }
   After(UpTo(milliseconds(300)), [this, where] { Beat(where); });
+  After(kReportSilence, [this, where, number] {
+    if (where->daemon_number != number ||
+        where->record.condition != target_condition::kUnreported)
+      return;
+    where->record.condition = target_condition::kAbsent;
+    Spread(where, where->dark ? node_liveness::kSilent : node_liveness::kAlive);
+  });
 }
 
 void steering_world::StartServer(slot* where, const std::string& service) {
@@ -352,27 +364,40 @@
         });
 }
 
+// Every node hears of a change within the lag; of two it keeps the later.
 void steering_world::Spread(slot* where, node_liveness liveness) {
-  roster_entry entry;
-  entry.record = where->record;
-  entry.liveness = liveness;
-  const auto is_old = [where, entry] {
-    return where->record.generation != entry.record.generation ||
-           where->record.sequence != entry.record.sequence;
-  };
+  where->entry.record = where->record;
+  where->entry.liveness = liveness;
+  ++where->changes;
   for (const auto& each : balancers_) {
-    After(UpTo(milliseconds(800)), [this, is_old, entry, to = each.get()] {
-      if (!is_old()) to->router->UpdateTarget(entry, now_);
+    After(UpTo(kRosterLag), [this, entry = where->entry,
+                             change = where->changes, to = each.get()] {
+      if (!IsNews(entry, change, &to->heard)) return;
+      to->router->UpdateTarget(entry, now_);
     });
   }
   for (const auto& each : slots_) {
-    After(UpTo(milliseconds(800)), [this, is_old, entry, to = each.get()] {
-      if (to->daemon != nullptr && !to->dark && !is_old())
-        to->daemon->UpdateTarget(entry, now_);
-    });
+    if (each->daemon != nullptr) TellDaemon(each.get(), *where);
   }
 }
 
+void steering_world::TellDaemon(slot* to, const slot& of) {
+  After(UpTo(kRosterLag), [this, to, number = to->daemon_number,
+                           entry = of.entry, change = of.changes] {
+    if (to->daemon_number != number || to->dark) return;
+    if (IsNews(entry, change, &to->heard))
+      to->daemon->UpdateTarget(entry, now_);
+  });
+}
+
+bool steering_world::IsNews(const roster_entry& entry, std::uint64_t change,
+                            heard_changes* heard) {
+  std::uint64_t& last = (*heard)[entry.record.where];
+  if (change <= last) return false;
+  last = change;
+  return true;
+}
+
 // ---- callers ----
 
 void steering_world::StartCaller(std::size_t number) {
--- a/tests/steering/steering_world.h
+++ b/tests/steering/steering_world.h
@@ -53,6 +53,8 @@
  private:
   struct balancer;
   struct slot;
+  // Of each node, the last change that was heard of.
+  using heard_changes = std::map<endpoint, std::uint64_t>;
   struct server;
   struct caller;
   struct claim_listener;
@@ -69,6 +71,9 @@
   void StartDaemon(slot* where, bool before_server);
   void Beat(slot* where);
   void Spread(slot* where, node_liveness liveness);
+  void TellDaemon(slot* to, const slot& of);
+  static bool IsNews(const roster_entry& entry, std::uint64_t change,
+                     heard_changes* heard);
   void SetShares(std::vector<service_share> shares);
 
   // ---- callers ----
--- a/tests/steering/target_directory_test.cc
+++ b/tests/steering/target_directory_test.cc
@@ -16,7 +16,6 @@
 using test::TargetAt;
 
 constexpr duration kMaxFlowAge = seconds(60);
-constexpr time_point kSettled = kStart + seconds(2);
 
 steering_header HeaderOf(std::uint64_t flow) {
   steering_header header;
@@ -47,7 +46,7 @@
         alive == 0 ? 0 : *rc::gen::inRange<std::size_t>(0, alive);
     endpoint self;
     for (std::size_t step = 0; step < count; ++step) {
-      RC_ASSERT(!directory.AllVisited(header, kSettled));
+      RC_ASSERT(!directory.AllVisited(header));
       const target_index next = step == 0 && alive > 0
                                     ? search.alive[start]
                                     : directory.NextOwner(header, self, kStart);
@@ -57,7 +56,7 @@
       self = directory.At(next).where;
     }
     RC_ASSERT(directory.NextOwner(header, self, kStart) == kNoTargetIndex);
-    RC_ASSERT(directory.AllVisited(header, kSettled));
+    RC_ASSERT(directory.AllVisited(header));
   });
 }
 
@@ -110,7 +109,8 @@
   constexpr row kRows[] = {
       {"ready", kReady, kAlive, 100, seconds(0), 1, 0},
       {"draining", target_condition::kDraining, kAlive, 100, seconds(0), 1, 0},
-      {"absent", kAbsent, kAlive, 0, seconds(0), 1, 0},
+      {"restarted", target_condition::kUnreported, kAlive, 0, seconds(0), 1, 0},
+      {"absent since its last report", kAbsent, kAlive, 0, seconds(0), 1, 0},
       {"silent", kReady, node_liveness::kSilent, 100, seconds(99), 0, 1},
       {"daemon gone", kReady, kGone, 100, seconds(59), 0, 1},
       {"daemon long gone", kReady, kGone, 100, seconds(60), 0, 0},
@@ -140,41 +140,61 @@
   cr_assert(!directory.Update(balancer, kStart));
 }
 
-Test(directory, trusts_no_visit_of_a_daemon_that_just_started) {
+Test(directory, counts_a_visit_for_one_start_of_a_daemon) {
   target_directory directory("a", kMaxFlowAge);
   roster_entry entry = TargetAt(1, "web");
   directory.Update(entry, kStart);
   steering_header header = HeaderOf(1);
-  header.AddVisit(NodeTag(entry.record.where));
+  header.AddVisit(NodeTag(entry.record.where, entry.record.generation));
   directory.ListOwners(header, kStart);
-  cr_assert(!directory.AllVisited(header, kStart + seconds(1)));
-  cr_assert(directory.AllVisited(header, kSettled));
+  cr_assert(directory.AllVisited(header));
   ++entry.record.sequence;
-  directory.Update(entry, kSettled);
-  cr_assert(directory.AllVisited(header, kSettled));
+  directory.Update(entry, kStart);
+  cr_assert(directory.AllVisited(header));
+  ++entry.record.generation;
+  directory.Update(entry, kStart);
+  cr_assert(!directory.AllVisited(header));
+}
+
+Test(directory, is_settled_some_time_after_the_last_start) {
+  target_directory directory("a", kMaxFlowAge);
+  roster_entry entry = TargetAt(1, "web");
+  directory.Update(entry, kStart);
+  directory.ListOwners(HeaderOf(1), kStart);
+  cr_assert(!directory.AllSettled(kStart + seconds(1)));
+  cr_assert(directory.AllSettled(kStart + seconds(2)));
   ++entry.record.generation;
-  directory.Update(entry, kSettled);
-  cr_assert(!directory.AllVisited(header, kSettled));
+  directory.Update(entry, kStart + seconds(2));
+  cr_assert(!directory.AllSettled(kStart + seconds(3)));
+  cr_assert(directory.AllSettled(kStart + seconds(4)));
 }
 
 struct owner_row {
   node_liveness liveness;
+  target_condition condition;
   std::uint64_t target_start;  // 0: no target has reported
   bool may_own;
 };
 
-Test(directory, lists_no_silent_daemon_that_never_had_a_target) {
-  const owner_row rows[] = {{node_liveness::kAlive, 100, true},
-                            {node_liveness::kAlive, 0, true},
-                            {node_liveness::kSilent, 100, true},
-                            {node_liveness::kSilent, 0, false}};
+Test(directory, lists_no_daemon_that_never_had_a_target) {
+  constexpr auto kUnreported = target_condition::kUnreported;
+  constexpr auto kReady = target_condition::kReady;
+  constexpr auto kAbsent = target_condition::kAbsent;
+  const owner_row rows[] = {{node_liveness::kAlive, kReady, 100, true},
+                            {node_liveness::kAlive, kUnreported, 0, true},
+                            {node_liveness::kAlive, kAbsent, 0, false},
+                            {node_liveness::kSilent, kReady, 100, true},
+                            {node_liveness::kSilent, kUnreported, 0, true},
+                            {node_liveness::kSilent, kAbsent, 0, false},
+                            {node_liveness::kGone, kReady, 100, true},
+                            {node_liveness::kGone, kUnreported, 0, true},
+                            {node_liveness::kGone, kAbsent, 0, false}};
   for (const owner_row& row : rows) {
     target_directory directory("a", kMaxFlowAge);
     roster_entry entry = TargetAt(1, "web");
     entry.liveness = row.liveness;
     entry.record.target_start = row.target_start;
-    entry.record.condition = row.target_start == 0 ? target_condition::kAbsent
-                                                   : target_condition::kReady;
+    entry.record.condition = row.condition;
     directory.Update(entry, kStart);
     const owner_search& search = directory.ListOwners(HeaderOf(1), kStart);
     cr_assert((search.size() == 1) == row.may_own);
@@ -189,7 +209,7 @@
   for (std::uint32_t zone = 1; zone <= 4; ++zone) {
     for (std::uint32_t number = 0; number < kTargets / 4; ++number) {
       const endpoint where{MakeV4(10U << 24U | zone << 16U | number), 7360};
-      cr_expect(tags.insert(NodeTag(where)).second);
+      cr_expect(tags.insert(NodeTag(where, 1)).second);
     }
   }
 }
@@ -201,19 +221,19 @@
   std::unordered_map<std::uint32_t, std::uint32_t> seen;
   for (;; ++number) {
     const auto [first, is_new] =
-        seen.try_emplace(NodeTag(test::DaemonAt(number)), number);
+        seen.try_emplace(NodeTag(test::DaemonAt(number), 1), number);
     if (is_new) continue;
     twin = first->second;
     break;
   }
   directory.Update(TargetAt(number, "web"), kStart);
   steering_header header = HeaderOf(1);
-  header.AddVisit(NodeTag(test::DaemonAt(number)));
+  header.AddVisit(NodeTag(test::DaemonAt(number), 1));
   directory.ListOwners(header, kStart);
-  cr_assert(directory.AllVisited(header, kSettled));
+  cr_assert(directory.AllVisited(header));
   directory.Update(TargetAt(twin, "web"), kStart);
   directory.ListOwners(header, kStart);
-  cr_assert(!directory.AllVisited(header, kSettled));
+  cr_assert(!directory.AllVisited(header));
 }
 
 }  // namespace
