--- a/include/tamaracklatch/membership/target_reports.h
+++ b/include/tamaracklatch/membership/target_reports.h
@@ -35,6 +35,8 @@
   endpoint where;  // of the target beside the daemon
   // Without a report for this long the target counts as absent.
   duration silence = std::chrono::seconds(2);
+  // A target that lives beside a daemon which starts reports to it within this.
+  duration first_report = std::chrono::seconds(2);
 };
 
 // Invariants: the start never falls; within one start draining stays.
@@ -55,7 +57,7 @@
 
   const target_status& status() const { return status_; }
   // Whether the start that is held said that it ends, or no target has reported
-  // to this daemon within the silence bound.
+  // to this daemon within the bound of the first report.
   bool ended() const {
     return ended_ || (status_.target_start == 0 &&
                       status_.condition == target_condition::kAbsent);
--- a/include/tamaracklatch/roster/node_record.h
+++ b/include/tamaracklatch/roster/node_record.h
@@ -19,7 +19,7 @@
 };
 
 enum class target_condition : std::uint8_t {
-  kAbsent = 0,      // no report for longer than the silence bound, or ended
+  kAbsent = 0,      // no report within the bound, or ended
   kReady = 1,       // takes new flows
   kDraining = 2,    // keeps its flows, takes no new ones
   kUnreported = 3,  // the daemon just started; a target may live beside it
--- a/src/daemon/steering_target.cc
+++ b/src/daemon/steering_target.cc
@@ -57,7 +57,8 @@
               [this](const endpoint&, std::string_view bytes) {
                 OnSteered(bytes);
               }),
-      reports_({settings.service, settings.target, settings.report_silence},
+      reports_({settings.service, settings.target, settings.report_silence,
+                settings.first_report},
                frame_.Now()),
       owner_(OwnerSettings(settings), codec, frame_.Now(), &frame_.events()),
       outbound_(&frame_.loop(),
--- a/src/daemon/steering_target.h
+++ b/src/daemon/steering_target.h
@@ -27,6 +27,8 @@
   std::uint16_t caller_port = 0;  // UDP: where callers take segments
   // Without a report for this long the target counts as absent.
   duration report_silence = std::chrono::seconds(2);
+  // As in target_reports_settings.
+  duration first_report = std::chrono::seconds(2);
   duration stop_limit = std::chrono::seconds(5);  // of a graceful stop
   duration max_flow_age = std::chrono::seconds(60);
 };
--- a/src/membership/target_reports.cc
+++ b/src/membership/target_reports.cc
@@ -52,7 +52,10 @@
 
 bool target_reports::Tick(time_point now) {
   if (status_.condition == target_condition::kAbsent) return false;
-  if (now - heard_ < settings_.silence) return false;
+  const duration bound = status_.condition == target_condition::kUnreported
+                             ? settings_.first_report
+                             : settings_.silence;
+  if (now - heard_ < bound) return false;
   status_.condition = target_condition::kAbsent;
   return true;
 }
--- a/tests/membership/target_reports_test.cc
+++ b/tests/membership/target_reports_test.cc
@@ -11,6 +11,8 @@
 using std::chrono::milliseconds;
 
 const endpoint kTarget{MakeV4(0x0a000009), 80};
+const target_reports_settings kSettings{"desk", kTarget, milliseconds(2000),
+                                        milliseconds(1500)};
 
 target_report Report(std::uint64_t start, std::uint64_t sequence,
                      bool draining = false) {
@@ -50,7 +52,7 @@
       {Report(6, 0), result_code::kOk, condition::kReady},
       {Report(5, 9, true), result_code::kHeartbeatStale, condition::kReady},
   };
-  target_reports reports({"desk", kTarget, milliseconds(2000)}, time_point());
+  target_reports reports(kSettings, time_point());
   for (const report_row& row : rows) {
     cr_expect(reports.OnReport(row.report, time_point()) == row.code);
     cr_expect(reports.status().condition == row.condition);
@@ -58,7 +60,7 @@
 }
 
 Test(target_reports, an_end_is_final_for_its_start) {
-  target_reports reports({"desk", kTarget, milliseconds(2000)}, time_point());
+  target_reports reports(kSettings, time_point());
   reports.OnReport(Report(5, 1), time_point());
   cr_expect(reports.OnEnd("i-4") == result_code::kHeartbeatStale);
   cr_expect(reports.OnEnd("i-5") == result_code::kOk);
@@ -71,7 +73,7 @@
 }
 
 Test(target_reports, silence_makes_absent_until_the_next_report) {
-  target_reports reports({"desk", kTarget, milliseconds(2000)}, time_point());
+  target_reports reports(kSettings, time_point());
   reports.OnReport(Report(5, 1), time_point());
   cr_expect(!reports.Tick(time_point(milliseconds(1999))));
   cr_expect(reports.Tick(time_point(milliseconds(2000))));
@@ -88,14 +90,14 @@
 };
 
 Test(target_reports, a_daemon_without_any_report_has_no_target) {
-  target_reports reports({"desk", kTarget, milliseconds(2000)}, time_point());
+  target_reports reports(kSettings, time_point());
   cr_expect(!reports.ended());
-  cr_expect(!reports.Tick(time_point(milliseconds(1999))));
+  cr_expect(!reports.Tick(time_point(milliseconds(1499))));
   cr_expect(reports.status().condition == target_condition::kUnreported);
-  cr_expect(reports.Tick(time_point(milliseconds(2000))));
+  cr_expect(reports.Tick(time_point(milliseconds(1500))));
   cr_expect(reports.status().condition == target_condition::kAbsent);
   cr_expect(reports.ended());
-  cr_expect(reports.OnReport(Report(5, 7), time_point(milliseconds(2001))) ==
+  cr_expect(reports.OnReport(Report(5, 7), time_point(milliseconds(1501))) ==
             result_code::kOk);
   cr_expect(!reports.ended());
   cr_expect(!reports.saw_start());
@@ -104,7 +106,7 @@
 Test(target_reports, know_whether_the_start_was_seen) {
   for (const start_row& row :
        std::vector<start_row>{{0, true}, {1, true}, {2, false}, {40, false}}) {
-    target_reports reports({"desk", kTarget, milliseconds(2000)}, time_point());
+    target_reports reports(kSettings, time_point());
     reports.OnReport(Report(5, row.sequence), time_point());
     cr_expect(reports.saw_start() == row.saw_start);
   }
