Hold segments at a balancer until its view is complete

Cause: after a loss of power everywhere, what callers sent before the first set was known was dropped, and searches that ended before the roster was settled were not repeated; callers heard of their lost flows only at their last retransmission, 1.4 s after the first try, with 0.1 s left for a new flow. Balancers now keep the last segment of such a flow for a second at most, route it when the set comes, and repeat a search twice once it can be confirmed. Ruled out: waiting in target daemons, as only the balancer can confirm its services.

--- a/include/tamaracklatch/steering/segment_router.h
+++ b/include/tamaracklatch/steering/segment_router.h
@@ -27,6 +27,7 @@
 class hint_cache;
 class opening_memory;
 class recent_flows;
+class segment_hold;
 class target_directory;
 
 struct segment_router_settings {
@@ -76,6 +77,10 @@
 
   steering_decision Route(const segment& what, time_point now);
 
+  // Segments of before that are to be routed again, because the view has become
+  // complete. Call a few times a second.
+  std::vector<std::string> TakeHeld(time_point now);
+
   // A hint from a target daemon.
   void OnOwner(const steering_header& hint, const endpoint& from,
                time_point now);
@@ -122,6 +127,7 @@
                                  std::uint64_t flow, time_point now);
   steering_decision RouteOther(const route& by, const segment& what,
                                std::uint64_t flow, time_point now);
+  bool IsSettled(time_point now) const;
   bool RankUsable(std::uint64_t flow, std::uint32_t service);
   std::uint32_t ChooseTarget(std::uint32_t copy, std::uint64_t flow,
                              time_point now);
@@ -139,6 +145,7 @@
   std::unique_ptr<hint_cache> owners_;
   std::unique_ptr<opening_memory> openings_;
   std::unique_ptr<recent_flows> told_;
+  std::unique_ptr<segment_hold> hold_;
   std::unordered_map<endpoint, route, address_hash> routes_;
   std::unordered_map<endpoint, std::vector<past_service>, address_hash> past_;
   std::vector<sent_openings> sent_;    // by target
--- a/src/daemon/steering_balancer.cc
+++ b/src/daemon/steering_balancer.cc
@@ -72,7 +72,9 @@
 }
 
 void steering_balancer::OnSetReceived(const document_set& set) {
-  router_.SetRoutes(set, frame_.Now());
+  const time_point now = frame_.Now();
+  router_.SetRoutes(set, now);
+  for (const std::string& bytes : router_.TakeHeld(now)) OnSegment({}, bytes);
   event what;
   what.id = event_id::kSetApplied;
   what.detail =
@@ -131,6 +133,7 @@
   const time_point now = frame_.Now();
   const bool confirmed = IsViewConfirmed(now);
   router_.SetConfirmed(confirmed && roster_.member().IsInTouch(now));
+  for (const std::string& bytes : router_.TakeHeld(now)) OnSegment({}, bytes);
   if (stopping_) {
     // Until the end: where few balancers are left, the fabric may still choose
     // one that said that it is not ready.
--- a/src/steering/segment_router.cc
+++ b/src/steering/segment_router.cc
@@ -11,6 +11,7 @@
 #include "steering/hint_cache.h"
 #include "steering/opening_memory.h"
 #include "steering/recent_flows.h"
+#include "steering/segment_hold.h"
 #include "steering/target_directory.h"
 #include "tamaracklatch/core/hash.h"
 
@@ -44,6 +45,9 @@
 // Flows remembered of which events told.
 constexpr std::size_t kToldFlows = 256;
 
+// Segments held while the view is not complete.
+constexpr std::size_t kHeldSegments = 1024;
+
 // Makes the choice of the service independent of that of the target.
 constexpr std::uint64_t kShareSalt = 0x73686172650a0a0a;
 
@@ -67,7 +71,8 @@
                                                   settings.max_flow_age)),
       owners_(std::make_unique<hint_cache>(settings.max_cached_flows)),
       openings_(std::make_unique<opening_memory>()),
-      told_(std::make_unique<recent_flows>(kToldFlows)) {}
+      told_(std::make_unique<recent_flows>(kToldFlows)),
+      hold_(std::make_unique<segment_hold>(kHeldSegments)) {}
 
 segment_router::~segment_router() = default;
 
@@ -138,6 +143,7 @@
     if (target == kNoTargetIndex) return;
     ++counters_.hints;
     owners_->Put(hint.flow, target, hint.target_start, now);
+    hold_->Remove(hint.flow);
   } else if (hint.kind == steering_kind::kUnknown) {
     ++counters_.unknown;
     const hint_cache::entry* owner = owners_->Find(hint.flow, now);
@@ -157,6 +163,10 @@
   const std::uint64_t flow = HashFlow(what.key);
   const auto found =
       routes_.find(endpoint{what.key.destination, what.key.destination_port});
+  if (set_version_ == 0) {
+    hold_->Keep(flow, segment_hold::reason::kNoSet, what.bytes, now);
+    return Drop(result_code::kRouteUnknown);
+  }
   if (found == routes_.end()) {
     opening_memory::entry* known = openings_->Get(flow, now);
     if (!confirmed_ || (known->refused && what.opens()))
@@ -169,6 +179,16 @@
                       : RouteOther(found->second, what, flow, now);
 }
 
+std::vector<std::string> segment_router::TakeHeld(time_point now) {
+  if (hold_->size() == 0) return {};
+  return hold_->TakeDue(set_version_ != 0, IsSettled(now), now);
+}
+
+// Whether a search that starts now can be confirmed.
+bool segment_router::IsSettled(time_point now) const {
+  return confirmed_ && now - targets_->last_joined() >= kRosterSettles;
+}
+
 // The share whose part of the weights the flow's hash falls into.
 std::size_t segment_router::ChooseShare(const route& by,
                                         std::uint64_t flow) const {
@@ -344,6 +364,8 @@
   const time_point since =
       std::min(known->first_searched, targets_->last_joined());
   if (now - since < kRosterSettles) header.confirmed = false;
+  if (!header.confirmed && !IsSettled(now))
+    hold_->Keep(flow, segment_hold::reason::kUnsettled, what.bytes, now);
   // Each retransmission asks another target first, so that one that is dead
   // hides the owner from one segment only.
   std::size_t turn = known->searches;
--- /dev/null
+++ b/tests/steering/segment_hold_test.cc
@@ -0,0 +1,69 @@
+// Tests of which held segments are sent again, and when.
+#include "steering/segment_hold.h"
+
+#include <criterion/criterion.h>
+
+#include <iterator>
+
+#include "steering/segments.h"
+
+namespace tamaracklatch {
+namespace {
+
+using std::chrono::milliseconds;
+using test::kStart;
+using reason = segment_hold::reason;
+
+struct take_row {
+  const char* name;
+  reason why;
+  bool has_set;
+  bool is_settled;
+  milliseconds later;
+  std::size_t due;
+  std::size_t left;
+};
+
+Test(hold, sends_what_its_view_has_become_complete_for) {
+  constexpr take_row kRows[] = {
+      {"no set yet", reason::kNoSet, false, false, milliseconds(5), 0, 1},
+      {"set came", reason::kNoSet, true, false, milliseconds(5), 1, 0},
+      {"set came late", reason::kNoSet, true, true, milliseconds(1001), 0, 0},
+      {"unsettled", reason::kUnsettled, true, false, milliseconds(5), 0, 1},
+      {"settled", reason::kUnsettled, true, true, milliseconds(5), 1, 1},
+      {"settled late", reason::kUnsettled, true, true, milliseconds(1001), 0,
+       0}};
+  for (const take_row& row : kRows) {
+    segment_hold hold(4);
+    hold.Keep(7, row.why, "segment", kStart);
+    const auto due =
+        hold.TakeDue(row.has_set, row.is_settled, kStart + row.later);
+    cr_assert(due.size() == row.due, "%s", row.name);
+    cr_assert(hold.size() == row.left, "%s", row.name);
+    if (!due.empty()) cr_assert(due.front() == "segment", "%s", row.name);
+  }
+}
+
+Test(hold, repeats_a_settled_segment_once) {
+  segment_hold hold(4);
+  hold.Keep(7, reason::kUnsettled, "segment", kStart);
+  cr_assert(hold.TakeDue(true, true, kStart).size() == 1);
+  cr_assert(hold.TakeDue(true, true, kStart + milliseconds(99)).empty());
+  cr_assert(hold.TakeDue(true, true, kStart + milliseconds(100)).size() == 1);
+  cr_assert(hold.size() == 0);
+}
+
+Test(hold, keeps_the_last_segment_of_a_flow_until_its_owner_is_known) {
+  segment_hold hold(2);
+  hold.Keep(7, reason::kNoSet, "first", kStart);
+  hold.Keep(7, reason::kNoSet, "last", kStart + milliseconds(200));
+  hold.Keep(8, reason::kNoSet, "other", kStart);
+  hold.Keep(9, reason::kNoSet, "no room", kStart);
+  hold.Remove(8);
+  const auto due = hold.TakeDue(true, false, kStart + milliseconds(1100));
+  cr_assert(due.size() == 1);
+  cr_assert(due.front() == "last");
+}
+
+}  // namespace
+}  // namespace tamaracklatch
--- a/tests/steering/steering_world.cc
+++ b/tests/steering/steering_world.cc
@@ -143,6 +143,8 @@
   now_ = kStart - seconds(40);
   SetShares({{"web", 3}, {"shop", 1}});
   now_ = kStart;
+  for (std::size_t number = 0; number < balancers_.size(); ++number)
+    RouteHeld(number);
   for (std::size_t number = 0; number < slots_.size(); ++number) {
     slot* each = slots_[number].get();
     StartDaemon(each, true);
@@ -503,6 +505,12 @@
 
 // ---- the system ----
 
+void steering_world::RouteHeld(std::size_t number) {
+  for (const std::string& bytes : balancers_[number]->router->TakeHeld(now_))
+    OnBalancerGets(number, bytes);
+  After(milliseconds(50), [this, number] { RouteHeld(number); });
+}
+
 void steering_world::OnBalancerGets(std::size_t number,
                                     const std::string& bytes) {
   balancer* at = balancers_[number].get();
--- a/tests/steering/steering_world.h
+++ b/tests/steering/steering_world.h
@@ -70,6 +70,7 @@
   void CrashServer(slot* where);
   void StartDaemon(slot* where, bool before_server);
   void Beat(slot* where);
+  void RouteHeld(std::size_t number);
   void Spread(slot* where, node_liveness liveness);
   void TellDaemon(slot* to, const slot& of);
   static bool IsNews(const roster_entry& entry, std::uint64_t change,
