Take no opening just after a daemon said that it has no target

Cause: since a daemon without any target is no possible owner, a flow that opened at a target which started beside such a daemon was unknown to nodes that had not heard of it yet; a search over the others ended in a reset of the open flow (schedule with 1 balancer and 2 places, at 6,906 ms). The daemon passes openings on for a second after it has revoked its word.

--- a/include/tamaracklatch/steering/segment_owner.h
+++ b/include/tamaracklatch/steering/segment_owner.h
@@ -43,7 +43,7 @@
 
 // What the target said of itself last.
 struct target_status {
-  target_condition condition = target_condition::kAbsent;
+  target_condition condition = target_condition::kUnreported;
   std::uint32_t slots = 1;
   std::uint32_t max_connections = 0;  // 0: not known
   time_point cold_until;
@@ -135,7 +135,7 @@
   bool IsNowhereOpen(const steering_header& header) const;
   bool Visit(steering_header* header, bool is_sure, time_point now);
   std::uint32_t LeastLoaded(const steering_header& header);
-  result_code WhyNot() const;
+  result_code WhyNot(time_point now) const;
 
   void Deliver(const steering_header& header, const segment& what,
                owned_flow* flow, time_point now, actions* out);
@@ -161,6 +161,8 @@
   std::uint64_t target_start_ = 0;  // the last that was told, or 0
   time_point target_told_;          // when the target was reported last
   time_point started_;
+  // Until then other nodes may still hear that no target is here.
+  time_point absent_until_;
   // Until then the target may hold flows that are unknown here.
   time_point blind_until_;
   duration idle_timeout_{0};
--- a/src/steering/segment_owner.cc
+++ b/src/steering/segment_owner.cc
@@ -31,6 +31,9 @@
 // A claimed flow is kept for this beyond the idle time-out.
 constexpr std::chrono::seconds kIdleMargin{2};
 
+// A node that said it has no target is a possible owner for all others by then.
+constexpr std::chrono::seconds kAbsenceRevoked{1};
+
 // Copies of an opening come within this, and a refusal reaches its caller.
 constexpr std::chrono::seconds kPromiseTime{2};
 
@@ -73,10 +76,13 @@
 
 void segment_owner::SetTarget(const target_status& status, time_point now) {
   flows_->Advance(now);
+  const bool is_first = target_start_ == 0;
+  const bool was_absent =
+      is_first && status_.condition == target_condition::kAbsent;
   status_ = status;
   target_told_ = now;
   if (status.target_start == 0 || status.target_start == target_start_) return;
-  const bool is_first = target_start_ == 0;
+  if (was_absent) absent_until_ = now + kAbsenceRevoked;
   target_start_ = status.target_start;
   if (is_first) {
     if (status.saw_target_start) blind_until_ = now;
@@ -186,7 +192,7 @@
   const bool is_promised =
       passed_->Has(header.flow, now) ||
       (what.copy > 0 && now - started_ < kPromiseTime && IsBlind(now));
-  const result_code why = is_promised ? result_code::kTargetFull : WhyNot();
+  const result_code why = is_promised ? result_code::kTargetFull : WhyNot(now);
   if (why != result_code::kOk) {
     PassOpening(header, what, why, false, now, actions);
     return;
@@ -202,7 +208,8 @@
 }
 
 // Why the target takes no opening now; kOk: it does.
-result_code segment_owner::WhyNot() const {
+result_code segment_owner::WhyNot(time_point now) const {
+  if (now < absent_until_) return result_code::kNoTarget;
   switch (status_.condition) {
     case target_condition::kUnreported:
     case target_condition::kAbsent:
--- a/tests/steering/segment_owner_test.cc
+++ b/tests/steering/segment_owner_test.cc
@@ -33,7 +33,7 @@
 
 // The daemon of target 1 of three of a service; it saw its target start.
 struct lone_owner {
-  explicit lone_owner(bool saw_target_start = true) {
+  explicit lone_owner(bool saw_target_start = true, bool has_target = true) {
     segment_owner_settings settings;
     settings.self = DaemonAt(1);
     settings.generation = 1;
@@ -41,11 +41,13 @@
     settings.zone = "a";
     owner =
         std::make_unique<segment_owner>(settings, &codec, kStart, &listener);
-    status.condition = target_condition::kReady;
     status.slots = 4;
-    status.target_start = 100;
     status.saw_target_start = saw_target_start;
-    owner->SetTarget(status, now);
+    if (has_target) {
+      status.condition = target_condition::kReady;
+      status.target_start = 100;
+      owner->SetTarget(status, now);
+    }
     owner->SetConfirmed(true);
     for (std::uint32_t number = 1; number <= 3; ++number)
       owner->UpdateTarget(TargetAt(number, "web"), now);
@@ -315,6 +317,20 @@
   }
 }
 
+Test(owner, takes_no_opening_just_after_it_said_that_it_has_no_target) {
+  for (const bool said_absent : {true, false}) {
+    lone_owner alone(true, false);
+    if (said_absent) alone.SetCondition(target_condition::kAbsent);
+    alone.status.target_start = 100;
+    alone.SetCondition(target_condition::kReady);
+    alone.Steer(OpeningOf(FlowOf(1)));
+    cr_assert((alone.Got<pass_segment>() != nullptr) == said_absent);
+    alone.now += seconds(1);
+    alone.Steer(OpeningOf(FlowOf(2)));
+    cr_assert(alone.Got<deliver_segment>() != nullptr);
+  }
+}
+
 Test(owner, takes_no_copy_after_it_passed_the_first_on) {
   for (const bool confirmed : {true, false}) {
     lone_owner alone;
--- a/tests/steering/steering_world.cc
+++ b/tests/steering/steering_world.cc
@@ -324,7 +324,10 @@
     if (where->daemon_number != number ||
         where->record.condition != target_condition::kUnreported)
       return;
-    where->record.condition = target_condition::kAbsent;
+    target_status status;
+    status.condition = target_condition::kAbsent;
+    where->daemon->SetTarget(status, now_);
+    where->record.condition = status.condition;
     Spread(where, where->dark ? node_liveness::kSilent : node_liveness::kAlive);
   });
 }
