Give the operators' three doors one class, and each request its answer at once

gate_door<gate> carries out what set_gate or submission_gate decides, over the interface command_log that consensus_agent implements, and answers whatever the log no longer knows at once.

Ruled out: a common base of both gates; their decisions differ, only what carries them out was alike.

The table over a log that is told what to answer (tests/daemon/gate_door_test) failed first for documents: log_busy and storage_stopped had the final status 400; both are 503 now. With the old rule (unknown outcomes wait) put back in, both outcome tables fail.

--- a/include/tamaracklatch/control/set_gate.h
+++ b/include/tamaracklatch/control/set_gate.h
@@ -89,7 +89,8 @@
   // An operator asks for the newest set.
   actions Read(std::uint64_t request, time_point now);
 
-  // The log did not take the proposal; nothing happened.
+  // The log did not take the proposal: nothing happened; or, with
+  // kOutcomeUnknown, lost sight of it: it may still be accepted.
   actions OnProposalRefused(std::uint64_t tag, const failure& why);
 
   // What the log says to ask_read_index.
--- a/include/tamaracklatch/control/submission_gate.h
+++ b/include/tamaracklatch/control/submission_gate.h
@@ -60,7 +60,8 @@
   actions Submit(std::uint64_t request, std::string_view service,
                  std::string_view text, std::string_view token, time_point now);
 
-  // The log did not take the proposal; nothing happened.
+  // The log did not take the proposal: nothing happened; or, with
+  // kOutcomeUnknown, lost sight of it: it may still be accepted.
   actions OnProposalRefused(std::uint64_t tag, const failure& why);
 
   // An entry was applied at this VM.
--- a/src/control/submission_gate.cc
+++ b/src/control/submission_gate.cc
@@ -148,7 +148,9 @@
     case result_code::kVersionGap:
     case result_code::kAddressTaken:
       return 409;
+    case result_code::kLogBusy:
     case result_code::kNotLeader:
+    case result_code::kStorageStopped:
     case result_code::kTooManyWaiting:
       return 503;
     case result_code::kOutcomeUnknown:
--- a/src/daemon/consensus_agent.h
+++ b/src/daemon/consensus_agent.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "daemon/command_log.h"
 #include "daemon/process_frame.h"
 #include "daemon/storage_thread.h"
 #include "tamaracklatch/consensus/consensus_runner.h"
@@ -17,9 +18,6 @@
 
 namespace tamaracklatch {
 
-// Called once with what became of a proposal or a read.
-using consensus_reply = std::function<void(result_code code, revision index)>;
-
 struct consensus_agent_settings {
   consensus_settings consensus;
   std::string data_folder;
@@ -28,7 +26,7 @@
   std::function<std::optional<endpoint>(const vm_name&)> resolve;
 };
 
-class consensus_agent : public consensus_listener {
+class consensus_agent : public command_log, public consensus_listener {
  public:
   // All of them must outlive the agent.
   consensus_agent(process_frame* frame, link_hub* hub,
@@ -38,12 +36,8 @@
   // Loads the log and starts. On failure returns false and says why.
   bool Start(failure* last_failure);
 
-  // Asks the log to take a command.
-  void Propose(std::string command, consensus_reply reply);
-
-  // Asks up to which revision this VM must have applied to know all that was
-  // accepted before now.
-  void Read(consensus_reply reply);
+  void Propose(std::string command, consensus_reply reply) override;
+  void Read(consensus_reply reply) override;
 
   // Adds or removes a voter.
   void ChangeVoter(voter_change_asked::change_kind kind, const vm_name& name,
--- a/src/daemon/control_api.cc
+++ b/src/daemon/control_api.cc
@@ -77,7 +77,7 @@
       settings_(settings),
       state_(state),
       tokens_(Tokens(settings)),
-      gate_({}, &tokens_, frame->random()()),
+      door_(submission_gate({}, &tokens_, frame->random()())),
       sets_(frame, &tokens_, state),
       in_force_({}),
       forward_(frame, hub,
@@ -88,7 +88,8 @@
 void control_api::SetAgents(consensus_agent* consensus, view_agent* view) {
   consensus_ = consensus;
   view_ = view;
-  sets_.SetAgent(consensus);
+  door_.SetLog(consensus);
+  sets_.SetLog(consensus);
 }
 
 bool control_api::IsLeader() const {
@@ -165,37 +166,14 @@
 
 void control_api::Submit(const std::string& service,
                          const http_request& request, const http_reply& reply) {
-  const std::uint64_t number = next_request_++;
-  replies_[number] = reply;
-  Perform(gate_.Submit(number, service, request.body, BearerToken(request),
-                       frame_->Now()));
-}
-
-void control_api::Perform(const submission_gate::actions& actions) {
-  for (const submission_action& action : actions) {
-    std::visit([this](const auto& each) { Do(each); }, action);
-  }
-}
-
-void control_api::Do(const submission_answer& action) {
-  const auto found = replies_.find(action.request);
-  if (found == replies_.end()) return;
-  const http_reply reply = std::move(found->second);
-  replies_.erase(found);
-  reply(SubmissionAnswer(action));
-}
-
-// An applied entry answers by OnApplied. An unknown outcome waits for the
-// gate's time-out: the entry may still come.
-void control_api::Do(const propose_command& action) {
-  consensus_->Propose(
-      action.command, [this, tag = action.tag](result_code code, revision) {
-        if (code == result_code::kOk || code == result_code::kOutcomeUnknown)
-          return;
-        Perform(gate_.OnProposalRefused(
-            tag,
-            {code, "the log did not take it; sending the same again is safe"}));
-      });
+  const std::uint64_t number = door_.NextRequest();
+  door_.Await<submission_answer>(
+      number,
+      [reply](const submission_answer& answer) {
+        reply(SubmissionAnswer(answer));
+      },
+      door_.gate().Submit(number, service, request.body, BearerToken(request),
+                          frame_->Now()));
 }
 
 void control_api::OnApplied(const command_outcome& outcome,
@@ -206,7 +184,7 @@
     TellSubmission(outcome);
   }
   if (!outcome.refused.empty() && on_refused_) on_refused_(outcome.refused);
-  Perform(gate_.OnApplied(outcome));
+  door_.OnApplied(outcome);
   sets_.OnApplied(outcome);
   for (const event& what : watch_.OnChanges(changes))
     frame_->events().OnEvent(what);
@@ -228,14 +206,9 @@
 
 void control_api::Tick() {
   forward_.Expire();
-  Perform(gate_.OnTick(frame_->Now()));
-  sets_.Tick();
   const bool leads = IsLeader();
-  if (led_ && !leads) {
-    Perform(gate_.OnLeadershipLost());
-    sets_.OnLeadershipLost();
-  }
-  led_ = leads;
+  door_.Tick(leads, frame_->Now());
+  sets_.Tick(leads);
   // Only the leader's sum covers all nodes.
   if (!leads) return;
   const relay_node& node = view_->node();
--- a/src/daemon/control_api.h
+++ b/src/daemon/control_api.h
@@ -5,10 +5,10 @@
 #pragma once
 
 #include <functional>
-#include <map>
 #include <string>
 
 #include "daemon/consensus_agent.h"
+#include "daemon/gate_door.h"
 #include "daemon/http_server.h"
 #include "daemon/request_forward.h"
 #include "daemon/set_api.h"
@@ -77,9 +77,6 @@
   void ShowVoters(const http_reply& reply);
   // Answers by `show` once this VM is known to lead with all that was accepted.
   void AfterRead(const http_reply& reply, std::function<void()> show);
-  void Perform(const submission_gate::actions& actions);
-  void Do(const submission_answer& action);
-  void Do(const propose_command& action);
   void TellSubmission(const command_outcome& outcome);
   void TellInForce(revision at);
 
@@ -89,16 +86,12 @@
   consensus_agent* consensus_ = nullptr;
   view_agent* view_ = nullptr;
   access_tokens tokens_;
-  submission_gate gate_;
+  gate_door<submission_gate> door_;
   set_api sets_;
   in_force_tracker in_force_;
   request_forward forward_;
   membership_watch watch_;
-  std::map<std::uint64_t, http_reply>
-      replies_;  // of submissions, by the request's number
   std::function<void(const std::vector<refused_target>&)> on_refused_;
-  std::uint64_t next_request_ = 1;
-  bool led_ = false;  // at the last look
 };
 
 }  // namespace tamaracklatch
--- a/src/daemon/set_api.cc
+++ b/src/daemon/set_api.cc
@@ -40,7 +40,9 @@
 
 set_api::set_api(process_frame* frame, const access_tokens* tokens,
                  const control_state* state)
-    : frame_(frame), tokens_(tokens), gate_({}, state, frame->random()()) {}
+    : frame_(frame),
+      tokens_(tokens),
+      door_(set_gate({}, state, frame->random()())) {}
 
 bool set_api::Handle(const http_request& request, const http_reply& reply,
                      const log_standing& standing) {
@@ -51,9 +53,11 @@
         request.method + " " + request.path + " is not part of the API"));
     return true;
   }
-  const std::uint64_t number = next_request_++;
-  replies_[number] = reply;
-  Perform(gate_.Read(number, frame_->Now()));
+  const std::uint64_t number = door_.NextRequest();
+  door_.Await<set_read_answer>(
+      number,
+      [reply](const set_read_answer& answer) { reply(ReadAnswer(answer)); },
+      door_.gate().Read(number, frame_->Now()));
   return true;
 }
 
@@ -76,15 +80,17 @@
     reply(OrderAnswer(refused));
     return true;
   }
-  const std::uint64_t number = next_request_++;
+  const std::uint64_t number = door_.NextRequest();
   const set_order order{std::move(*set), request.body, holder};
-  const auto actions = gate_.Order(number, order, standing, frame_->Now());
+  const auto actions =
+      door_.gate().Order(number, order, standing, frame_->Now());
   for (const set_action& action : actions) {
     const auto* answer = std::get_if<set_answer>(&action);
     if (answer != nullptr && !answer->leader.empty()) return false;
   }
-  replies_[number] = reply;
-  Perform(actions);
+  door_.Await<set_answer>(
+      number, [reply](const set_answer& answer) { reply(OrderAnswer(answer)); },
+      actions);
   return true;
 }
 
@@ -93,47 +99,7 @@
     Tell(event_id::kSetAccepted, outcome.code,
          fmt::format("version {}", outcome.set_version.value_or(0)));
   }
-  Perform(gate_.OnApplied(outcome));
-}
-
-void set_api::Perform(const set_gate::actions& actions) {
-  for (const set_action& action : actions)
-    std::visit([this](const auto& each) { Do(each); }, action);
-}
-
-void set_api::Do(const set_answer& action) {
-  const auto found = replies_.find(action.request);
-  if (found == replies_.end()) return;
-  const http_reply reply = std::move(found->second);
-  replies_.erase(found);
-  reply(OrderAnswer(action));
-}
-
-void set_api::Do(const set_read_answer& action) {
-  const auto found = replies_.find(action.request);
-  if (found == replies_.end()) return;
-  const http_reply reply = std::move(found->second);
-  replies_.erase(found);
-  reply(ReadAnswer(action));
-}
-
-// An applied entry answers by OnApplied. An unknown outcome waits for the
-// gate's time-out: the entry may still come.
-void set_api::Do(const propose_command& action) {
-  consensus_->Propose(
-      action.command, [this, tag = action.tag](result_code code, revision) {
-        if (code == result_code::kOk || code == result_code::kOutcomeUnknown)
-          return;
-        Perform(gate_.OnProposalRefused(
-            tag,
-            {code, "the log did not take it; sending the same again is safe"}));
-      });
-}
-
-void set_api::Do(const ask_read_index& action) {
-  consensus_->Read([this, tag = action.tag](result_code code, revision) {
-    Perform(gate_.OnReadIndex(tag, code));
-  });
+  door_.OnApplied(outcome);
 }
 
 void set_api::Tell(event_id id, result_code code, const std::string& detail) {
--- a/src/daemon/set_api.h
+++ b/src/daemon/set_api.h
@@ -3,9 +3,7 @@
 // both; only what has to go into the log needs the leader.
 #pragma once
 
-#include <map>
-
-#include "daemon/consensus_agent.h"
+#include "daemon/gate_door.h"
 #include "daemon/http_server.h"
 #include "daemon/process_frame.h"
 #include "tamaracklatch/control/access_tokens.h"
@@ -21,7 +19,7 @@
           const control_state* state);
 
   // Call before anything else; it must outlive the API.
-  void SetAgent(consensus_agent* consensus) { consensus_ = consensus; }
+  void SetLog(command_log* log) { door_.SetLog(log); }
 
   // Takes a request to /v1/set. Returns false, without an answer, where the
   // leader that `standing` names has to be asked.
@@ -32,29 +30,19 @@
   void OnApplied(const command_outcome& outcome);
 
   // The state was restored from a snapshot.
-  void OnRestored() { Perform(gate_.OnRestored()); }
-
-  void OnLeadershipLost() { Perform(gate_.OnLeadershipLost()); }
+  void OnRestored() { door_.OnRestored(); }
 
-  // Answers what waits too long. Call several times a second.
-  void Tick() { Perform(gate_.OnTick(frame_->Now())); }
+  // Answers what can wait no longer. Call several times a second.
+  void Tick(bool is_leader) { door_.Tick(is_leader, frame_->Now()); }
 
  private:
   bool Replace(const http_request& request, const http_reply& reply,
                const log_standing& standing);
-  void Perform(const set_gate::actions& actions);
-  void Do(const set_answer& action);
-  void Do(const set_read_answer& action);
-  void Do(const propose_command& action);
-  void Do(const ask_read_index& action);
   void Tell(event_id id, result_code code, const std::string& detail);
 
   process_frame* frame_;
   const access_tokens* tokens_;
-  consensus_agent* consensus_ = nullptr;
-  set_gate gate_;
-  std::map<std::uint64_t, http_reply> replies_;  // by the request's number
-  std::uint64_t next_request_ = 1;
+  gate_door<set_gate> door_;
 };
 
 }  // namespace tamaracklatch
--- a/src/daemon/steering_control.cc
+++ b/src/daemon/steering_control.cc
@@ -64,7 +64,8 @@
       consensus_(&frame_, &hub_, ConsensusSettings(settings), this),
       roster_(&frame_, MemberSettings(settings), OwnRecord(settings, frame_),
               this, {}),
-      gate_({}, &state_, frame_.random()()) {
+      door_(set_gate({}, &state_, frame_.random()())) {
+  door_.SetLog(&consensus_);
   roster_.AddHub({});
 }
 
@@ -95,15 +96,20 @@
 }
 
 void steering_control::Order(const set_order& order, set_answer_handler reply) {
-  const std::uint64_t request = next_request_++;
-  orders_[request] = std::move(reply);
-  Perform(gate_.Order(request, order, Standing(), frame_.Now()));
+  const std::uint64_t request = door_.NextRequest();
+  door_.Await<set_answer>(
+      request,
+      [this, reply = std::move(reply)](const set_answer& answer) {
+        TellAnswer(answer);
+        reply(answer);
+      },
+      door_.gate().Order(request, order, Standing(), frame_.Now()));
 }
 
 void steering_control::Read(set_read_handler reply) {
-  const std::uint64_t request = next_request_++;
-  reads_[request] = std::move(reply);
-  Perform(gate_.Read(request, frame_.Now()));
+  const std::uint64_t request = door_.NextRequest();
+  door_.Await<set_read_answer>(request, std::move(reply),
+                               door_.gate().Read(request, frame_.Now()));
 }
 
 void steering_control::TellRefused(const std::vector<failure>& failures) {
@@ -142,14 +148,14 @@
                                failure* last_failure) {
   if (!state_.Restore(snapshot, last_failure)) return false;
   PublishSet();
-  Perform(gate_.OnRestored());
+  door_.OnRestored();
   return true;
 }
 
 void steering_control::OnApplied(const command_outcome& outcome,
                                  const revision_changes&) {
   PublishSet();
-  Perform(gate_.OnApplied(outcome));
+  door_.OnApplied(outcome);
 }
 
 void steering_control::PublishSet() {
@@ -171,56 +177,19 @@
   });
 }
 
-void steering_control::Perform(const set_gate::actions& actions) {
-  for (const set_action& action : actions) {
-    std::visit([this](const auto& each) { Do(each); }, action);
-  }
-}
-
-void steering_control::Do(const set_answer& action) {
-  const auto found = orders_.find(action.request);
-  if (found == orders_.end()) return;
-  const set_answer_handler reply = std::move(found->second);
-  orders_.erase(found);
+void steering_control::TellAnswer(const set_answer& answer) {
   event what;
-  const bool is_acknowledged = set_gate::HttpStatus(action.code) == 200;
+  const bool is_acknowledged = set_gate::HttpStatus(answer.code) == 200;
   what.id = is_acknowledged ? event_id::kSetAccepted : event_id::kSetRefused;
-  what.code = action.code;
+  what.code = answer.code;
   what.detail =
-      fmt::format("version {}, held {}", action.version, action.held_version);
+      fmt::format("version {}, held {}", answer.version, answer.held_version);
   frame_.events().OnEvent(what);
-  reply(action);
-}
-
-void steering_control::Do(const set_read_answer& action) {
-  const auto found = reads_.find(action.request);
-  if (found == reads_.end()) return;
-  const set_read_handler reply = std::move(found->second);
-  reads_.erase(found);
-  reply(action);
-}
-
-void steering_control::Do(const propose_command& action) {
-  const std::uint64_t tag = action.tag;
-  consensus_.Propose(action.command, [this, tag](result_code code, revision) {
-    if (code == result_code::kOk) return;
-    Perform(
-        gate_.OnProposalRefused(tag, {code, "sending the same again is safe"}));
-  });
-}
-
-void steering_control::Do(const ask_read_index& action) {
-  const std::uint64_t tag = action.tag;
-  consensus_.Read([this, tag](result_code code, revision) {
-    Perform(gate_.OnReadIndex(tag, code));
-  });
 }
 
 void steering_control::Tick() {
   const bool leads = consensus_.node().role() == consensus_role::kLeader;
-  if (led_ && !leads) Perform(gate_.OnLeadershipLost());
-  led_ = leads;
-  Perform(gate_.OnTick(frame_.Now()));
+  door_.Tick(leads, frame_.Now());
 }
 
 }  // namespace tamaracklatch
--- a/src/daemon/steering_control.h
+++ b/src/daemon/steering_control.h
@@ -4,11 +4,11 @@
 #pragma once
 
 #include <functional>
-#include <map>
 #include <string>
 #include <vector>
 
 #include "daemon/consensus_agent.h"
+#include "daemon/gate_door.h"
 #include "daemon/process_frame.h"
 #include "daemon/roster_agent.h"
 #include "tamaracklatch/control/control_state.h"
@@ -66,11 +66,7 @@
 
  private:
   log_standing Standing() const;
-  void Perform(const set_gate::actions& actions);
-  void Do(const set_answer& action);
-  void Do(const set_read_answer& action);
-  void Do(const propose_command& action);
-  void Do(const ask_read_index& action);
+  void TellAnswer(const set_answer& answer);
   void PublishSet();
   void ConfirmSet();
   void Tick();
@@ -81,12 +77,8 @@
   control_state state_;
   consensus_agent consensus_;
   roster_agent roster_;
-  set_gate gate_;
-  std::map<std::uint64_t, set_answer_handler> orders_;  // by request
-  std::map<std::uint64_t, set_read_handler> reads_;     // by request
-  std::uint64_t next_request_ = 1;
+  gate_door<set_gate> door_;
   std::uint64_t published_ = 0;  // version told to the roster
-  bool led_ = false;             // at the last look
 };
 
 }  // namespace tamaracklatch
