--- a/src/daemon/steering_balancer.cc
+++ b/src/daemon/steering_balancer.cc
@@ -14,14 +14,6 @@
 constexpr std::chrono::milliseconds kCheckInterval{
     100};  // between looks at readiness and the end of a stop
 
-roster_member_settings MemberSettings(
-    const steering_balancer_settings& settings) {
-  roster_member_settings result;
-  result.seeds = settings.seeds;
-  result.wants_set = true;
-  return result;
-}
-
 segment_router_settings RouterSettings(
     const steering_balancer_settings& settings) {
   segment_router_settings result;
@@ -38,7 +30,7 @@
     : settings_(settings),
       codec_(codec),
       frame_(settings.process, process_role::kBalancer),
-      roster_(&frame_, MemberSettings(settings),
+      roster_(&frame_, {settings.seeds, /*wants_set=*/true},
               MakeOwnRecord(frame_, node_role::kBalancer, settings.cluster),
               this,
               [this](const endpoint& from, std::string_view bytes) {
--- a/src/daemon/steering_control.cc
+++ b/src/daemon/steering_control.cc
@@ -39,13 +39,6 @@
   return result;
 }
 
-roster_member_settings MemberSettings(
-    const steering_control_settings& settings) {
-  roster_member_settings result;
-  result.seeds = settings.seeds;
-  return result;
-}
-
 node_record OwnRecord(const steering_control_settings& settings,
                       const process_frame& frame) {
   node_record result =
@@ -62,8 +55,7 @@
       hub_(&frame_.loop(), frame_.links(), &frame_.clock(), &frame_.events()),
       state_(this),
       consensus_(&frame_, &hub_, ConsensusSettings(settings), this),
-      roster_(&frame_, MemberSettings(settings), OwnRecord(settings, frame_),
-              this, {}),
+      roster_(&frame_, {settings.seeds}, OwnRecord(settings, frame_), this, {}),
       door_(set_gate({}, &state_, frame_.random()())) {
   door_.SetLog(&consensus_);
   roster_.AddHub({});
--- a/src/daemon/steering_target.cc
+++ b/src/daemon/steering_target.cc
@@ -20,13 +20,6 @@
 // A stop beside a living target: openings in progress come to their end.
 constexpr std::chrono::milliseconds kStopBesideTarget{1000};
 
-roster_member_settings MemberSettings(
-    const steering_target_settings& settings) {
-  roster_member_settings result;
-  result.seeds = settings.seeds;
-  return result;
-}
-
 node_record OwnRecord(const steering_target_settings& settings,
                       const process_frame& frame) {
   node_record result =
@@ -52,8 +45,7 @@
     : settings_(settings),
       codec_(codec),
       frame_(settings.process, process_role::kTarget),
-      roster_(&frame_, MemberSettings(settings), OwnRecord(settings, frame_),
-              this,
+      roster_(&frame_, {settings.seeds}, OwnRecord(settings, frame_), this,
               [this](const endpoint&, std::string_view bytes) {
                 OnSteered(bytes);
               }),
