Ask once whether a balancer's view is confirmed

Cause: readiness and the router each asked whether the node is in touch, and was_ready_ said what ready_ says: readiness ends with a stop only, after which it is not looked at. Behaviour unchanged.

--- a/src/daemon/steering_balancer.cc
+++ b/src/daemon/steering_balancer.cc
@@ -116,29 +116,27 @@
 
 bool steering_balancer::IsViewConfirmed(time_point now) const {
   const auto confirmed = roster_.member().confirmed();
-  return confirmed && now - *confirmed < settings_.propagation_limit / 2;
+  return confirmed && now - *confirmed < settings_.propagation_limit / 2 &&
+         roster_.member().IsInTouch(now);
 }
 
 void steering_balancer::Check() {
   const time_point now = frame_.Now();
   const bool confirmed = IsViewConfirmed(now);
-  router_.SetConfirmed(confirmed && roster_.member().IsInTouch(now));
+  router_.SetConfirmed(confirmed);
   if (stopping_) {
     // Until the end: where few balancers are left, the fabric may still choose
     // one that said that it is not ready.
     if (now - *stopping_ >= settings_.stop_limit) frame_.Stop();
     return;
   }
-  const bool has_view = roster_.member().set().version != 0 && confirmed &&
-                        roster_.member().IsInTouch(now);
-  // A view that was confirmed once stays good enough to serve by.
-  if (has_view || was_ready_) SetReady(true, "the view is confirmed");
+  if (confirmed && roster_.member().set().version != 0)
+    SetReady(true, "the view is confirmed");
 }
 
 void steering_balancer::SetReady(bool ready, const std::string& why) {
   if (ready == ready_) return;
   ready_ = ready;
-  was_ready_ = was_ready_ || ready;
   event what;
   what.id = event_id::kReadinessChanged;
   what.detail = fmt::format("{}: {}", ready ? "ready" : "not ready", why);
--- a/src/daemon/steering_balancer.h
+++ b/src/daemon/steering_balancer.h
@@ -66,8 +66,8 @@
   segment_router router_;
   udp_port ingress_;
   std::string buffer_;  // of the datagram being sent
+  // A view that was confirmed once stays good enough to serve by until a stop.
   bool ready_ = false;
-  bool was_ready_ = false;              // once since the start
   std::optional<time_point> stopping_;  // when the stop began
 };
 
