Serve the flows of a living target to the end of a stop

Cause: steering_target_settings::stop_limit was set and never read, so a stop beside a living target lasted 1 s whatever the grace time: the flows of that target then had no daemon until the next start, and callers' segments went to other targets.

graceful_stop decides without I/O when a stop is done: at its limit; beside a living target, as soon as its flows say nothing for 1 s; beside one that has ended, 250 ms after that, also if it ends during the stop (it then leaves, which it did not before).

So a balancer stops at its limit only, as before.

--- a/src/daemon/steering_balancer.cc
+++ b/src/daemon/steering_balancer.cc
@@ -23,6 +23,15 @@
   return result;
 }
 
+// Silence proves nothing: where few balancers are left, the fabric chooses one
+// again that said long before that it is not ready.
+graceful_stop_settings StopSettings(
+    const steering_balancer_settings& settings) {
+  graceful_stop_settings result;
+  result.limit = settings.stop_limit;
+  return result;
+}
+
 }  // namespace
 
 steering_balancer::steering_balancer(const steering_balancer_settings& settings,
@@ -40,7 +49,8 @@
       ingress_(&frame_.loop(),
                [this](const endpoint& from, std::string_view bytes) {
                  OnSegment(from, bytes);
-               }) {}
+               }),
+      stop_(StopSettings(settings)) {}
 
 int steering_balancer::Run(http_handler handler) {
   frame_.events().SetNode(ToString(settings_.cluster));
@@ -124,13 +134,8 @@
   const time_point now = frame_.Now();
   const bool confirmed = IsViewConfirmed(now);
   router_.SetConfirmed(confirmed);
-  if (stopping_) {
-    // Until the end: where few balancers are left, the fabric may still choose
-    // one that said that it is not ready.
-    if (now - *stopping_ >= settings_.stop_limit) frame_.Stop();
-    return;
-  }
-  if (confirmed && roster_.member().set().version != 0)
+  if (stop_.IsDone(now)) frame_.Stop();
+  if (confirmed && !stop_.HasBegun() && roster_.member().set().version != 0)
     SetReady(true, "the view is confirmed");
 }
 
@@ -144,7 +149,7 @@
 }
 
 void steering_balancer::BeginStop() {
-  stopping_ = frame_.Now();
+  stop_.Begin(frame_.Now());
   SetReady(false, "a graceful stop has begun");
   node_record own = roster_.member().own();
   own.leaving = true;
--- a/src/daemon/steering_balancer.h
+++ b/src/daemon/steering_balancer.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "daemon/graceful_stop.h"
 #include "daemon/process_frame.h"
 #include "daemon/roster_agent.h"
 #include "daemon/udp_port.h"
@@ -23,7 +24,7 @@
   std::uint16_t caller_port = 0;  // UDP: where callers take segments
   // An accepted document set must be in force within this.
   duration propagation_limit = std::chrono::seconds(3);
-  duration stop_limit = std::chrono::seconds(5);  // how long a stop forwards
+  duration stop_limit = std::chrono::seconds(5);  // of a graceful stop
   duration max_flow_age = std::chrono::seconds(60);
 };
 
@@ -68,7 +69,7 @@
   std::string buffer_;  // of the datagram being sent
   // A view that was confirmed once stays good enough to serve by until a stop.
   bool ready_ = false;
-  std::optional<time_point> stopping_;  // when the stop began
+  graceful_stop stop_;
 };
 
 }  // namespace tamaracklatch
--- a/src/daemon/steering_target.cc
+++ b/src/daemon/steering_target.cc
@@ -14,11 +14,9 @@
 
 constexpr std::chrono::milliseconds kTickInterval{
     50};  // between looks at what expires
-// A stop beside a target that has ended lasts this long: the last announcement
-// is repeated in it.
-constexpr std::chrono::milliseconds kStopAfterTarget{250};
-// A stop beside a living target: openings in progress come to their end.
-constexpr std::chrono::milliseconds kStopBesideTarget{1000};
+// A stop beside a living target serves its flows on until none of them says
+// anything for this long.
+constexpr std::chrono::milliseconds kStopQuiet{1000};
 
 node_record OwnRecord(const steering_target_settings& settings,
                       const process_frame& frame) {
@@ -38,6 +36,13 @@
   return result;
 }
 
+graceful_stop_settings StopSettings(const steering_target_settings& settings) {
+  graceful_stop_settings result;
+  result.limit = settings.stop_limit;
+  result.quiet = kStopQuiet;
+  return result;
+}
+
 }  // namespace
 
 steering_target::steering_target(const steering_target_settings& settings,
@@ -55,7 +60,8 @@
       outbound_(&frame_.loop(),
                 [this](const endpoint&, std::string_view bytes) {
                   OnOutbound(bytes);
-                }) {}
+                }),
+      stop_(StopSettings(settings)) {}
 
 int steering_target::Run(const http_handler& handler) {
   frame_.events().SetNode(tamaracklatch::ToString(settings_.cluster));
@@ -118,7 +124,7 @@
   const time_point now = frame_.Now();
   target_status status = reports_.status();
   status.saw_target_start = reports_.saw_start();
-  if (stopping_ && status.condition == target_condition::kReady)
+  if (stop_.HasBegun() && status.condition == target_condition::kReady)
     status.condition = target_condition::kDraining;
   owner_.SetTarget(status, now);
   node_record own = roster_.member().own();
@@ -154,7 +160,9 @@
   if (!header) return CountDropped(why.code);
   const auto what = codec_->Decode(rest, false, &why);
   if (!what) return CountDropped(why.code);
-  owner_.OnSteered(*header, *what, frame_.Now(), &actions_);
+  const time_point now = frame_.Now();
+  stop_.OnArrival(now);
+  owner_.OnSteered(*header, *what, now, &actions_);
   Perform();
 }
 
@@ -162,7 +170,9 @@
   failure why;
   const auto what = codec_->Decode(bytes, true, &why);
   if (!what) return CountDropped(why.code);
-  owner_.OnTargetSegment(*what, frame_.Now(), &actions_);
+  const time_point now = frame_.Now();
+  stop_.OnArrival(now);
+  owner_.OnTargetSegment(*what, now, &actions_);
   Perform();
 }
 
@@ -213,19 +223,24 @@
   const bool has_changed = reports_.Tick(now);
   if (has_changed || owner_.load() != roster_.member().own().load)
     FollowTarget();
-  if (!stopping_) return;
-  const bool ended = reports_.ended();
-  const duration least = ended ? kStopAfterTarget : kStopBesideTarget;
-  if (now - *stopping_ >= least) frame_.Stop();
+  if (stop_.HasBegun()) ContinueStop();
 }
 
-// The flows of a target that has ended are gone with it; beside a living one
-// they wait for the next start of this daemon.
 void steering_target::BeginStop() {
-  stopping_ = frame_.Now();
+  stop_.Begin(frame_.Now());
   FollowTarget();
+  ContinueStop();
+}
+
+// The flows of a target that has ended are gone with it; beside a living one
+// they wait for the next start of this daemon.
+void steering_target::ContinueStop() {
+  const time_point now = frame_.Now();
+  if (stop_.IsDone(now)) return frame_.Stop();
   if (!reports_.ended()) return;
+  stop_.OnWorkEnded(now);
   node_record own = roster_.member().own();
+  if (own.leaving) return;
   own.leaving = true;
   roster_.SetOwn(own);
 }
--- a/src/daemon/steering_target.h
+++ b/src/daemon/steering_target.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "daemon/graceful_stop.h"
 #include "daemon/process_frame.h"
 #include "daemon/roster_agent.h"
 #include "daemon/udp_port.h"
@@ -47,7 +48,7 @@
   // A report that could not be read.
   void OnUnreadableReport(const failure& why);
 
-  bool IsReady() const { return !stopping_; }
+  bool IsReady() const { return !stop_.HasBegun(); }
 
   process_frame& frame() { return frame_; }
   roster_agent& roster() { return roster_; }
@@ -69,6 +70,7 @@
   void Refuse(result_code code, const std::string& detail);
   void Tick();
   void BeginStop();
+  void ContinueStop();
 
   steering_target_settings settings_;
   const segment_codec* codec_;
@@ -80,7 +82,7 @@
   std::vector<segment_action> actions_;
   std::string buffer_;  // of the datagram being sent
   target_condition told_ = target_condition::kUnreported;  // in the last event
-  std::optional<time_point> stopping_;  // when the stop began
+  graceful_stop stop_;
 };
 
 }  // namespace tamaracklatch
