--- a/src/timeline/explain.cc
+++ b/src/timeline/explain.cc
@@ -4,8 +4,8 @@
 #include <fmt/format.h>
 
 #include <charconv>
-#include <fstream>
 
+#include "timeline/input_files.h"
 #include "timeline/json_fields.h"
 
 namespace tamaracklatch {
@@ -47,20 +47,6 @@
   return std::nullopt;
 }
 
-bool ReadFiles(const std::vector<std::string>& files, log_merge* logs,
-               std::ostream& errors) {
-  for (const std::string& path : files) {
-    std::ifstream file(path);
-    if (file.is_open()) logs->Read(file);
-    if (file.is_open() && !file.bad()) continue;
-    errors << ToString(failure{result_code::kTimelineFileUnreadable,
-                               fmt::format("\"{}\" can't be read", path)})
-           << '\n';
-    return false;
-  }
-  return true;
-}
-
 std::string SayNothingFound(const log_merge& logs) {
   std::string text = "no line was found in the logs of";
   for (const auto& [process, span] : logs.processes()) text += " " + process;
@@ -104,11 +90,9 @@
     return kWrongUse;
   }
   log_merge logs(command->flow);
-  if (!ReadFiles(command->files, &logs, errors)) return kFailed;
-  if (logs.malformed() > 0) {
-    errors << fmt::format("{} lines that are torn or no entries were skipped\n",
-                          logs.malformed());
-  }
+  const auto read = [&](std::istream& file) { logs.Read(file); };
+  if (!ReadInputFiles(command->files, read, errors)) return kFailed;
+  SayMalformed(logs.malformed(), errors);
   const std::vector<log_entry> entries = logs.Finish();
   const std::string text = command->version != 0
                                ? TellSet(entries, command->version, logs)
--- a/src/timeline/timeline_command.cc
+++ b/src/timeline/timeline_command.cc
@@ -9,6 +9,7 @@
 
 #include "tamaracklatch/timeline/timeline_html.h"
 #include "tamaracklatch/timeline/timeline_merge.h"
+#include "timeline/input_files.h"
 
 namespace tamaracklatch {
 namespace {
@@ -53,20 +54,6 @@
   return filter;
 }
 
-bool ReadFiles(const std::vector<std::string>& files, timeline_merge* merge,
-               std::ostream& errors) {
-  for (const std::string& path : files) {
-    std::ifstream file(path);
-    if (file.is_open()) merge->Read(file);
-    if (file.is_open() && !file.bad()) continue;
-    errors << ToString(failure{result_code::kTimelineFileUnreadable,
-                               fmt::format("\"{}\" can't be read", path)})
-           << '\n';
-    return false;
-  }
-  return true;
-}
-
 bool WritePage(const std::string& path,
                const std::vector<timeline_entry>& entries,
                std::ostream& errors) {
@@ -94,12 +81,10 @@
     return kWrongUse;
   }
   timeline_merge merge(*filter);
-  if (!ReadFiles(command.files, &merge, errors)) return kFailed;
+  const auto read = [&](std::istream& file) { merge.Read(file); };
+  if (!ReadInputFiles(command.files, read, errors)) return kFailed;
   const std::vector<timeline_entry> entries = merge.Finish();
-  if (merge.malformed() > 0) {
-    errors << fmt::format("{} lines that are torn or no entries were skipped\n",
-                          merge.malformed());
-  }
+  SayMalformed(merge.malformed(), errors);
   if (!command.html.empty())
     return WritePage(command.html, entries, errors) ? kDone : kFailed;
   for (const timeline_entry& entry : entries) out << FormatEntry(entry) << '\n';
