--- a/src/daemon/http_server.cc
+++ b/src/daemon/http_server.cc
@@ -5,6 +5,7 @@
 
 #include <restinio/all.hpp>
 
+#include "daemon/http_open.h"
 #include "transport/link.h"
 
 namespace tamaracklatch {
@@ -82,15 +83,7 @@
               return restinio::request_accepted();
             });
       });
-  try {
-    state_->running->open_sync();
-  } catch (const std::exception& error) {
-    state_->running.reset();
-    SetFailure(last_failure, result_code::kBindFailed,
-               ToString(where) + ": " + error.what());
-    return false;
-  }
-  return true;
+  return OpenHttpServer(&state_->running, where, last_failure);
 }
 
 }  // namespace tamaracklatch
--- a/src/daemon/operator_commands.cc
+++ b/src/daemon/operator_commands.cc
@@ -107,20 +107,33 @@
   return kExitRefused;
 }
 
-}  // namespace
-
-int RunSubmit(const operator_options& options, const std::string& path,
-              std::ostream& out, std::ostream& errors) {
-  const auto text = ReadWholeFile(path);
+// The text of the file, and `document` as `parse` reads it. Tells each fault.
+template <typename document_type>
+std::optional<std::string> ReadDocument(
+    const std::string& path,
+    std::optional<document_type> (*parse)(std::string_view,
+                                          std::vector<failure>*),
+    std::optional<document_type>* document, std::ostream& errors) {
+  auto text = ReadWholeFile(path);
   if (!text) {
     fmt::print(errors, "{}: can't be read\n", path);
-    return kExitUsage;
+    return std::nullopt;
   }
   std::vector<failure> faults;
-  const auto document = ParseDocument(*text, &faults);
+  *document = parse(*text, &faults);
   for (const failure& fault : faults)
     fmt::print(errors, "{}: {}\n", path, ToString(fault));
-  if (!document) return kExitUsage;
+  if (!*document) return std::nullopt;
+  return text;
+}
+
+}  // namespace
+
+int RunSubmit(const operator_options& options, const std::string& path,
+              std::ostream& out, std::ostream& errors) {
+  std::optional<service_document> document;
+  const auto text = ReadDocument(path, &ParseDocument, &document, errors);
+  if (!text) return kExitUsage;
   control_client client(options);
   failure why;
   const auto answer =
@@ -135,16 +148,9 @@
 
 int RunSubmitSet(const operator_options& options, const std::string& path,
                  std::ostream& out, std::ostream& errors) {
-  const auto text = ReadWholeFile(path);
-  if (!text) {
-    fmt::print(errors, "{}: can't be read\n", path);
-    return kExitUsage;
-  }
-  std::vector<failure> faults;
-  const auto set = ParseDocumentSet(*text, &faults);
-  for (const failure& fault : faults)
-    fmt::print(errors, "{}: {}\n", path, ToString(fault));
-  if (!set) return kExitUsage;
+  std::optional<document_set> set;
+  const auto text = ReadDocument(path, &ParseDocumentSet, &set, errors);
+  if (!text) return kExitUsage;
   failure why;
   const auto answer =
       control_client(options).Send({"PUT", "/v1/set", "", {}, *text}, &why);
