--- a/src/daemon/steering_balancer.cc
+++ b/src/daemon/steering_balancer.cc
@@ -14,14 +14,6 @@
 constexpr std::chrono::milliseconds kCheckInterval{
     100};  // between looks at readiness and the end of a stop
 
-roster_member_settings MemberSettings(
-    const steering_balancer_settings& settings) {
-  roster_member_settings result;
-  result.seeds = settings.seeds;
-  result.wants_set = true;
-  return result;
-}
-
 segment_router_settings RouterSettings(
     const steering_balancer_settings& settings) {
   segment_router_settings result;
@@ -31,6 +23,15 @@
   return result;
 }
 
+// Silence proves nothing: where few balancers are left, the fabric chooses one
+// again that said long before that it is not ready.
+graceful_stop_settings StopSettings(
+    const steering_balancer_settings& settings) {
+  graceful_stop_settings result;
+  result.limit = settings.stop_limit;
+  return result;
+}
+
 }  // namespace
 
 steering_balancer::steering_balancer(const steering_balancer_settings& settings,
@@ -38,7 +39,7 @@
     : settings_(settings),
       codec_(codec),
       frame_(settings.process, process_role::kBalancer),
-      roster_(&frame_, MemberSettings(settings),
+      roster_(&frame_, {settings.seeds, /*wants_set=*/true},
               MakeOwnRecord(frame_, node_role::kBalancer, settings.cluster),
               this,
               [this](const endpoint& from, std::string_view bytes) {
@@ -48,7 +49,8 @@
       ingress_(&frame_.loop(),
                [this](const endpoint& from, std::string_view bytes) {
                  OnSegment(from, bytes);
-               }) {}
+               }),
+      stop_(StopSettings(settings)) {}
 
 int steering_balancer::Run(http_handler handler) {
   frame_.events().SetNode(ToString(settings_.cluster));
@@ -126,30 +128,23 @@
 
 bool steering_balancer::IsViewConfirmed(time_point now) const {
   const auto confirmed = roster_.member().confirmed();
-  return confirmed && now - *confirmed < settings_.propagation_limit / 2;
+  return confirmed && now - *confirmed < settings_.propagation_limit / 2 &&
+         roster_.member().IsInTouch(now);
 }
 
 void steering_balancer::Check() {
   const time_point now = frame_.Now();
   const bool confirmed = IsViewConfirmed(now);
-  router_.SetConfirmed(confirmed && roster_.member().IsInTouch(now));
+  router_.SetConfirmed(confirmed);
   for (const std::string& bytes : router_.TakeHeld(now)) OnSegment({}, bytes);
-  if (stopping_) {
-    // Until the end: where few balancers are left, the fabric may still choose
-    // one that said that it is not ready.
-    if (now - *stopping_ >= settings_.stop_limit) frame_.Stop();
-    return;
-  }
-  const bool has_view = roster_.member().set().version != 0 && confirmed &&
-                        roster_.member().IsInTouch(now);
-  // A view that was confirmed once stays good enough to serve by.
-  if (has_view || was_ready_) SetReady(true, "the view is confirmed");
+  if (stop_.IsDone(now)) frame_.Stop();
+  if (confirmed && !stop_.HasBegun() && roster_.member().set().version != 0)
+    SetReady(true, "the view is confirmed");
 }
 
 void steering_balancer::SetReady(bool ready, const std::string& why) {
   if (ready == ready_) return;
   ready_ = ready;
-  was_ready_ = was_ready_ || ready;
   event what;
   what.id = event_id::kReadinessChanged;
   what.detail = fmt::format("{}: {}", ready ? "ready" : "not ready", why);
@@ -157,7 +152,7 @@
 }
 
 void steering_balancer::BeginStop() {
-  stopping_ = frame_.Now();
+  stop_.Begin(frame_.Now());
   SetReady(false, "a graceful stop has begun");
   node_record own = roster_.member().own();
   own.leaving = true;
