Take out a member whose process no node hears

Cause: a lease is held by one relay.

Ruled out: the lease's holder in the log (an entry for each move of a target); reports of all leases again and again (11,000 relays, and a cut zone still looks like a dead one). The leader has the names of all processes already: a target daemon pulls from the relay that holds its lease, and from another one if it lives on.

absence_judge compares members with these names. It takes out only where the list is whole, the zone is heard, and few of its members are missing; a cut zone is doubted without end, and the clock starts again after it.

--- a/src/daemon/controld.cc
+++ b/src/daemon/controld.cc
@@ -2,6 +2,7 @@
 // root of the distribution of revisions and the keeper of the targets' leases.
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <map>
 #include <optional>
@@ -13,6 +14,7 @@
 #include "daemon/view_agent.h"
 #include "tamaracklatch/control/control_state.h"
 #include "tamaracklatch/daemon/daemons.h"
+#include "tamaracklatch/membership/absence_judge.h"
 #include "tamaracklatch/membership/lease_table.h"
 #include "tamaracklatch/membership/loss_judge.h"
 #include "transport/link_hub.h"
@@ -24,6 +26,8 @@
     500};  // between confirmations that the quorum agrees
 constexpr std::chrono::milliseconds kTickInterval{
     100};  // between looks at the leases
+constexpr std::chrono::milliseconds kPresenceInterval{
+    1000};  // between looks at the members that nobody hears
 
 relay_settings RelaySettings(const controld_settings& settings,
                              const process_frame& frame) {
@@ -119,6 +123,7 @@
     frame_.Every(kQuorumInterval, [this] { HearQuorum(); });
     frame_.Every(kTickInterval, [this] { ReportLeases(); });
     frame_.Every(kTickInterval, [this] { JudgeLosses(); });
+    frame_.Every(kPresenceInterval, [this] { JudgeAbsences(); });
     frame_.Every(kTickInterval, [this] { api_.Tick(); });
     view_.Start();
     frame_.Run([this] { frame_.Stop(); });
@@ -205,6 +210,31 @@
     }
   }
 
+  void JudgeAbsences() {
+    if (!api_.IsLeader()) return absences_.Reset();
+    for (const loss_action& action :
+         absences_.OnLook(Presence(), state_.view(), frame_.Now())) {
+      std::visit([this](const auto& each) { Do(each); }, action);
+    }
+  }
+
+  node_presence Presence() const {
+    const relay_node& node = view_.node();
+    node_presence heard;
+    heard.nodes = node.Names();
+    heard.sum = node.Progress();
+    heard.zones = {settings_.process.zone};
+    for (const auto& [name, child] : node.children().all())
+      heard.zones.insert(child.contact.zone);
+    const auto& voters = consensus_.node().Status().configuration.voters;
+    heard.all_voters = std::all_of(
+        voters.begin(), voters.end(), [&](const cluster_member& voter) {
+          return voter.id.name == settings_.process.name ||
+                 node.children().all().count(voter.id.name) > 0;
+        });
+    return heard;
+  }
+
   void Do(const propose_membership& action) {
     api_.ProposeMembership(action.batch);
   }
@@ -227,6 +257,7 @@
   view_agent view_;
   lease_table leases_;
   loss_judge judge_{loss_settings()};
+  absence_judge absences_{absence_settings()};
 };
 
 }  // namespace
--- a/tests/membership/lease_test.cc
+++ b/tests/membership/lease_test.cc
@@ -10,6 +10,8 @@
 #include "support/property.h"
 #include "support/virtual_network.h"
 #include "tamaracklatch/control/control_state.h"
+#include "tamaracklatch/distribution/progress_sum.h"
+#include "tamaracklatch/membership/absence_judge.h"
 #include "tamaracklatch/membership/announcer.h"
 #include "tamaracklatch/membership/lease_table.h"
 #include "tamaracklatch/membership/loss_judge.h"
@@ -30,11 +32,9 @@
     submit.body = submit_document{
         CanonicalText(test::MakeDocument("desk", 1, 1)), "operator"};
     state.Apply(revision{++entries_}, Encode(submit));
-    for (const char* name : {"relay-0", "relay-1"}) {
-      lease_settings settings;
-      settings.relay = name;
-      settings.zone = "zone-a";
-      relays_.emplace_back(settings);
+    for (std::uint32_t i = 0; i < 2; ++i) {
+      relays_.emplace_back(lease_settings());
+      RestartRelay(i);
     }
     for (std::uint32_t i = 0; i < targets; ++i) StartTarget(i, 1);
   }
@@ -54,6 +54,14 @@
     targets[index]->SetRelays(contacts, now_);
   }
 
+  // What the relay held is lost.
+  void RestartRelay(std::uint32_t index) {
+    lease_settings settings;
+    settings.relay = "relay-" + std::to_string(index);
+    settings.zone = "zone-a";
+    relays_.at(index) = lease_table(settings);
+  }
+
   void RunFor(duration span) {
     for (const time_point end = now_ + span; now_ < end; now_ += kStep) Step();
   }
@@ -98,8 +106,22 @@
       }
     }
     for (lease_table& relay : relays_) Report(&relay);
-    const auto losses = judge.OnTick(state.view(), now_);
+    Judge(judge.OnTick(state.view(), now_));
     if (judge.next_wake() <= now_) ++late_wakes;
+    // A target that lives is below some relay, whichever it renews with.
+    node_presence heard;
+    heard.zones = {"zone-a"};
+    heard.all_voters = true;
+    for (const auto& [index, target] : targets) {
+      const node_identity node{"target-" + std::to_string(index),
+                               target->target().key.started};
+      heard.nodes.push_back(node);
+      AddProgress({{revision{1}, 1, HashIdentity(node)}}, &heard.sum);
+    }
+    Judge(absences_.OnLook(heard, state.view(), now_));
+  }
+
+  void Judge(const std::vector<loss_action>& losses) {
     for (const loss_action& action : losses) {
       if (const auto* proposal = std::get_if<propose_membership>(&action)) {
         control_command command;
@@ -127,6 +149,7 @@
   }
 
   double loss_;
+  absence_judge absences_{absence_settings()};
   random_source random_{20261204};
   time_point now_ = time_point(std::chrono::hours(1));
   std::uint64_t entries_ = 0;
@@ -201,5 +224,18 @@
   cr_expect(zone.late_wakes == 0);
 }
 
+// No other relay has held the lease, so nobody reports the target silent.
+Test(membership, a_target_that_ends_together_with_its_relay_leaves) {
+  membership_fixture zone(10);
+  zone.RunFor(seconds(100));  // past the time in which leases are reported
+  zone.RestartRelay(0);
+  zone.targets.erase(0);
+  zone.RunFor(seconds(40));
+  cr_expect(zone.members() == 9, "%zu members", zone.members());
+  for (const auto& [id, target] : zone.state.view().targets)
+    cr_expect(id.sequence == 1);
+  cr_expect(zone.late_wakes == 0);
+}
+
 }  // namespace
 }  // namespace tamaracklatch
