Record known nodes in the log; a new leader waits for them

Cause, traced: the in-force tracker lives in memory and compares the sums with the names that the leader has heard.

Ruled out: waiting for a span alone. A node that found no parent for long waits up to 37.5 s between tries, so the span would be minutes at each change of leader, and would still say nothing about a node that is cut off.

Now the names of nodes that are no targets are an entry in the log, once they have been heard for 10 s, and leave it when they stop gracefully or are silent for an hour. A leader that has applied all earlier entries expects these names and the process of each member.

Who is neither recorded nor a member is forgotten after 10 s.

--- a/include/tamaracklatch/control/control_command.h
+++ b/include/tamaracklatch/control/control_command.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <variant>
 
+#include "tamaracklatch/control/known_nodes.h"
 #include "tamaracklatch/membership/announcement.h"
 
 namespace tamaracklatch {
@@ -25,8 +26,8 @@
   std::uint64_t version = 0;
 };
 
-using control_body =
-    std::variant<submit_document, membership_batch, replace_document_set>;
+using control_body = std::variant<submit_document, membership_batch,
+                                  replace_document_set, known_nodes_batch>;
 
 // One log entry.
 struct control_command {
--- a/include/tamaracklatch/control/control_state.h
+++ b/include/tamaracklatch/control/control_state.h
@@ -1,5 +1,5 @@
 // The replicated state of the control VMs: which documents and which document
-// set were accepted, and which targets are members. The same entries in the
+// set were accepted, which targets are members and which nodes are known. The same entries in the
 // same order give the same state, bytes and answers on every VM.
 //
 //   control_state state(&listener);           // OnApplied tells each outcome
@@ -91,6 +91,8 @@
   // once it is handed out.
   std::shared_ptr<const accepted_set> held_set() const { return set_; }
 
+  const known_nodes& nodes() const { return nodes_; }
+
   // What Apply would answer to this document now, without applying it.
   command_outcome Judge(const submit_document& submission) const;
 
@@ -125,6 +127,8 @@
                revision_changes* changes);
   void Perform(const replace_document_set& body, command_outcome* outcome,
                revision_changes* changes);
+  void Perform(const known_nodes_batch& body, command_outcome* outcome,
+               revision_changes* changes);
   void Join(const target_announcement& join, command_outcome* outcome,
             revision_changes* changes);
   void Update(target_id id, target_record wanted, std::uint64_t generation,
@@ -167,6 +171,7 @@
   cluster_view view_;
   std::shared_ptr<const accepted_set> set_;        // versions only rise
   std::map<std::string, service_state> services_;  // by name
+  known_nodes nodes_;
   std::map<target_id, target_extra> extras_;       // one for each target
   std::vector<target_slot> slots_;                 // by target_id::index
 
--- a/src/control/control_command.cc
+++ b/src/control/control_command.cc
@@ -13,9 +13,10 @@
   kSubmit = 0,
   kMembership = 1,
   kReplaceSet = 2,
+  kKnownNodes = 3,
 };
 
-constexpr std::uint64_t kLastCommandKind = 2;
+constexpr std::uint64_t kLastCommandKind = 3;
 constexpr std::size_t kMaxCommandBytes = 16 * 1024 * 1024;
 
 class body_writer {
@@ -50,6 +51,11 @@
     writer_->Text(body.submitter);
   }
 
+  void operator()(const known_nodes_batch& body) const {
+    writer_->Number(static_cast<std::uint64_t>(command_kind::kKnownNodes));
+    Write(writer_, body);
+  }
+
  private:
   wire_writer* writer_;
 };
@@ -124,6 +130,9 @@
     case command_kind::kReplaceSet:
       command.body = ReadReplaceSet(&reader);
       break;
+    case command_kind::kKnownNodes:
+      command.body = ReadKnownNodesBatch(&reader);
+      break;
   }
   reader.Leave();
   if (!reader.ok()) return std::nullopt;
--- a/src/control/control_state.cc
+++ b/src/control/control_state.cc
@@ -13,8 +13,8 @@
 namespace tamaracklatch {
 namespace {
 
-// Format 1 has no document set.
-constexpr std::uint64_t kSnapshotFormat = 2;
+// Format 1 has no document set, format 2 no known nodes.
+constexpr std::uint64_t kSnapshotFormat = 3;
 // Targets that may be members at once.
 constexpr std::size_t kMaxTargets = 1U << 20U;
 
@@ -235,6 +235,13 @@
   outcome->set_version = set_->version;
 }
 
+// --- Known nodes ---
+
+void control_state::Perform(const known_nodes_batch& body, command_outcome*,
+                            revision_changes* changes) {
+  nodes_.Apply(changes->at, body);
+}
+
 // --- Membership ---
 
 void control_state::Perform(const membership_batch& body,
@@ -390,7 +397,7 @@
 
 std::string control_state::Snapshot() const {
   wire_writer writer;
-  writer.Array(7);
+  writer.Array(8);
   writer.Number(kSnapshotFormat);
   writer.Write(applied_);
   writer.Write(view_.at);
@@ -426,6 +433,7 @@
     writer.Text(set_->source_text);
     writer.Text(set_->submitter);
   }
+  nodes_.Write(&writer);
   return std::string(writer.bytes());
 }
 
@@ -500,6 +508,7 @@
     read.set_ = std::make_shared<const accepted_set>(std::move(held));
   }
   if (format > 1) reader.Leave();
+  if (format > 2) read.nodes_.Read(&reader);
   reader.Leave();
   if (!reader.ok()) return fail("malformed bytes");
   for (const auto& [id, target] : read.view_.targets) {
--- a/src/control/in_force_tracker.cc
+++ b/src/control/in_force_tracker.cc
@@ -2,6 +2,7 @@
 #include "tamaracklatch/control/in_force_tracker.h"
 
 #include <algorithm>
+#include <unordered_set>
 
 #include "tamaracklatch/distribution/progress_sum.h"
 
@@ -17,6 +18,85 @@
   if (watched_.size() > settings_.max_revisions) watched_.pop_front();
 }
 
+void in_force_tracker::Reset() {
+  nodes_.clear();
+  identities_ = 0;
+  silent_ = 0;
+  sum_.clear();
+  expected_.clear();
+  expected_at_.reset();
+  members_at_.reset();
+  newly_silent_.clear();
+  next_record_ = time_point();
+}
+
+void in_force_tracker::Expect(const known_nodes& known,
+                              const cluster_view& view, time_point now) {
+  if (expected_at_ != known.changed()) {
+    expected_at_ = known.changed();
+    std::set<std::string> before;
+    before.swap(expected_);
+    expected_ = known.names();
+    for (const std::string& name : expected_) {
+      // One that was taken in before may have been forgotten since.
+      if (before.count(name) > 0 || nodes_.count(name) > 0) continue;
+      nodes_[name] = {{name, incarnation()}, now, now, false};
+      ++silent_;
+    }
+  }
+  if (members_at_ == view.at) return;
+  members_at_ = view.at;
+  members_.clear();
+  for (const auto& [id, target] : view.targets)
+    members_[target.started.value] = target.vm;
+}
+
+known_nodes_batch in_force_tracker::Unrecorded(const known_nodes& known,
+                                               time_point now) {
+  known_nodes_batch batch;
+  if (now < next_record_) return batch;
+  next_record_ = now + settings_.record_interval;
+  for (const auto& [name, state] : nodes_) {
+    const bool is_new = state.is_heard && known.names().count(name) == 0 &&
+                        now - state.heard_since >= settings_.record_after;
+    if (!is_new || IsMember(state.node)) continue;
+    if (batch.added.size() < settings_.max_batch) batch.added.push_back(name);
+  }
+  for (const std::string& name : known.names()) {
+    const auto found = nodes_.find(name);
+    if (found != nodes_.end() && !IsMember(found->second.node)) continue;
+    if (batch.removed.size() < settings_.max_batch)
+      batch.removed.push_back(name);
+  }
+  if (!batch.empty()) next_record_ = now + settings_.record_patience;
+  return batch;
+}
+
+bool in_force_tracker::IsMember(const node_identity& node) const {
+  return members_.count(node.started.value) > 0;
+}
+
+bool in_force_tracker::IsForgotten(const node_state& state,
+                                   time_point now) const {
+  if (state.is_heard) return false;
+  const bool is_recorded =
+      expected_.count(state.node.name) > 0 || IsMember(state.node);
+  return now - state.heard >
+         (is_recorded ? settings_.forget_after : settings_.record_after);
+}
+
+std::vector<std::string> in_force_tracker::UnheardMembers() const {
+  std::unordered_set<std::uint64_t> starts;
+  for (const auto& [name, state] : nodes_)
+    starts.insert(state.node.started.value);
+  std::vector<std::string> names;
+  for (const auto& [started, vm] : members_) {
+    if (starts.count(started) == 0) names.push_back(vm);
+  }
+  std::sort(names.begin(), names.end());
+  return names;
+}
+
 std::vector<revision> in_force_tracker::Update(
     const std::vector<progress>& sum, const std::vector<node_identity>& names,
     const std::vector<std::string>& left, time_point now) {
@@ -25,7 +105,13 @@
     if (node.is_heard) heard_before.push_back(name);
     node.is_heard = false;
   }
-  for (const node_identity& name : names) nodes_[name.name] = {name, now, true};
+  for (const node_identity& name : names) {
+    const auto [known, is_new] = nodes_.try_emplace(name.name);
+    node_state& state = known->second;
+    const bool goes_on = !is_new && state.node == name &&
+                         now - state.heard < settings_.record_after;
+    state = {name, now, goes_on ? state.heard_since : now, true};
+  }
   for (const std::string& name : left) {
     const auto found = nodes_.find(name);
     if (found != nodes_.end() && !found->second.is_heard) nodes_.erase(found);
@@ -35,7 +121,7 @@
   silent_ = 0;
   for (auto node = nodes_.begin(); node != nodes_.end();) {
     const node_state& state = node->second;
-    if (!state.is_heard && now - state.heard > settings_.forget_after) {
+    if (IsForgotten(state, now)) {
       node = nodes_.erase(node);
       continue;
     }
@@ -63,16 +149,19 @@
 bool in_force_tracker::IsEverywhere(revision at) const {
   if (nodes_.empty() || silent_ > 0) return false;
   const progress applied = AppliedAtLeast(sum_, at);
-  return applied.nodes == nodes_.size() && applied.identities == identities_;
+  return applied.nodes == nodes_.size() && applied.identities == identities_ &&
+         UnheardMembers().empty();
 }
 
 in_force_status in_force_tracker::Status(revision at) const {
   in_force_status status;
   status.at = at;
-  status.nodes = static_cast<std::uint32_t>(nodes_.size());
+  status.not_heard = UnheardMembers();
+  const auto heard = static_cast<std::uint32_t>(nodes_.size()) - silent_;
+  status.nodes =
+      heard + silent_ + static_cast<std::uint32_t>(status.not_heard.size());
   // A node that moves may be counted by two relays for a moment.
-  status.applied =
-      std::min(AppliedAtLeast(sum_, at).nodes, status.nodes - silent_);
+  status.applied = std::min(AppliedAtLeast(sum_, at).nodes, heard);
   for (const auto& [name, node] : nodes_) {
     if (!node.is_heard) status.not_heard.push_back(name);
   }
--- a/src/daemon/control_api.cc
+++ b/src/daemon/control_api.cc
@@ -235,13 +235,31 @@
     Perform(gate_.OnLeadershipLost());
     sets_.OnLeadershipLost();
   }
+  if (leads && !led_) {
+    in_force_.Reset();
+    ++leadership_;
+  }
   led_ = leads;
   // Only the leader's sum covers all nodes.
-  if (!leads) return;
+  if (leads) LookInForce();
+}
+
+void control_api::LookInForce() {
+  // Whom to expect is known once all entries of earlier leaders are applied.
+  if (caught_up_ != leadership_) {
+    consensus_->Read([this, begun = leadership_](result_code code, revision) {
+      if (code == result_code::kOk) caught_up_ = begun;
+    });
+    return;
+  }
+  const time_point now = frame_->Now();
   const relay_node& node = view_->node();
-  for (const revision at : in_force_.Update(node.Progress(), node.Names(),
-                                            node.Left(), frame_->Now()))
+  in_force_.Expect(state_->nodes(), state_->view(), now);
+  for (const revision at :
+       in_force_.Update(node.Progress(), node.Names(), node.Left(), now))
     TellInForce(at);
+  const known_nodes_batch batch = in_force_.Unrecorded(state_->nodes(), now);
+  if (!batch.empty()) Propose(batch, [](result_code, revision) {});
 }
 
 void control_api::TellInForce(revision at) {
@@ -253,14 +271,13 @@
 }
 
 void control_api::ProposeMembership(const membership_batch& batch) {
-  ProposeMembership(batch, [](result_code, revision) {});
+  Propose(batch, [](result_code, revision) {});
 }
 
-void control_api::ProposeMembership(const membership_batch& batch,
-                                    consensus_reply reply) {
+void control_api::Propose(control_body body, consensus_reply reply) {
   control_command command;
   command.tag = frame_->random()();
-  command.body = batch;
+  command.body = std::move(body);
   consensus_->Propose(Encode(command), std::move(reply));
 }
 
@@ -285,7 +302,7 @@
         ErrorAnswer(kNotFound, result_code::kTargetUnknown,
                     fmt::format("no target of {} on {}", service, vm)));
   }
-  ProposeMembership(batch, [reply](result_code code, revision index) {
+  Propose(batch, [reply](result_code code, revision index) {
     if (code != result_code::kOk)
       return reply(ErrorAnswer(StatusOf(code), code, "draining again is safe"));
     nlohmann::json body = ResultJson(code);
--- a/src/daemon/control_api.h
+++ b/src/daemon/control_api.h
@@ -68,7 +68,7 @@
               const http_reply& reply);
   void Drain(const std::string& service, const http_request& request,
              const http_reply& reply);
-  void ProposeMembership(const membership_batch& batch, consensus_reply reply);
+  void Propose(control_body body, consensus_reply reply);
   void ChangeVoters(const http_request& request, const http_reply& reply);
   void ShowService(const std::string& service, const http_request& request,
                    const http_reply& reply);
@@ -81,6 +81,7 @@
   void Do(const submission_answer& action);
   void Do(const propose_command& action);
   void TellSubmission(const command_outcome& outcome);
+  void LookInForce();
   void TellInForce(revision at);
 
   process_frame* frame_;
@@ -98,7 +99,9 @@
       replies_;  // of submissions, by the request's number
   std::function<void(const std::vector<refused_target>&)> on_refused_;
   std::uint64_t next_request_ = 1;
-  bool led_ = false;  // at the last look
+  bool led_ = false;              // at the last look
+  std::uint64_t leadership_ = 0;  // counts from 1
+  std::uint64_t caught_up_ = 0;   // the leadership that has all entries
 };
 
 }  // namespace tamaracklatch
--- a/tests/control/control_state_test.cc
+++ b/tests/control/control_state_test.cc
@@ -170,6 +170,12 @@
     return Submission("service-" + std::to_string(number(3)), 1 + number(6),
                       1 + number(4), number(2));
   }
+  if (number(4) == 0) {
+    control_command known;
+    known.body = known_nodes_batch{{"node-" + std::to_string(number(4))},
+                                   {"node-" + std::to_string(number(4))}};
+    return Encode(known);
+  }
   membership_batch batch;
   for (std::uint32_t i = number(4); i > 0; --i) {
     auto target = Announce(number(5), 1 + number(4));
--- a/tests/control/document_set_test.cc
+++ b/tests/control/document_set_test.cc
@@ -253,14 +253,22 @@
 
 Test(control, snapshots_carry_the_set) {
   control_state state;
-  // Format 1 ended before the set.
+  // Format 2 ended before the known nodes, format 1 before the set.
+  const std::string no_nodes("\x92\x00\x90", 3);
   std::string old = state.Snapshot();
-  cr_assert(old[0] == '\x97' && old[1] == 2 && old.back() == '\x90');
+  cr_assert(old[0] == '\x98' && old[1] == 3);
+  cr_assert(old.substr(old.size() - no_nodes.size()) == no_nodes);
+  old.resize(old.size() - no_nodes.size());
+  cr_assert(old.back() == '\x90');
+  control_state restored;
+  failure why;
+  old[0] = '\x97';
+  old[1] = 2;
+  cr_expect(restored.Restore(old, &why), "%s", why.reason.c_str());
+  cr_expect(restored.Snapshot() == state.Snapshot());
   old[0] = '\x96';
   old[1] = 1;
   old.pop_back();
-  control_state restored;
-  failure why;
   cr_expect(restored.Restore(old, &why), "%s", why.reason.c_str());
   cr_expect(restored.Snapshot() == state.Snapshot());
 
