--- a/tests/membership/absence_judge_test.cc
+++ b/tests/membership/absence_judge_test.cc
@@ -156,14 +156,14 @@
 }
 
 Test(absence, losses_one_after_the_other_count_together) {
-  zones_fixture zones(8);
+  zones_fixture zones(12);
   zones.RunFor(seconds(5));
   zones.ended = {0, 1};
   zones.RunFor(seconds(32));
-  cr_assert(zones.view.targets.size() == 22);
+  cr_assert(zones.view.targets.size() == 34);
   zones.ended = {0, 1, 2, 3};
   zones.RunFor(seconds(40));
-  cr_expect(zones.view.targets.size() == 22);
+  cr_expect(zones.view.targets.size() == 34);
 }
 
 Test(absence, a_new_leader_waits_for_nodes_that_search_for_long) {
