--- a/bench/control_bench.cc
+++ b/bench/control_bench.cc
@@ -105,11 +105,17 @@
   }
   in_force_tracker tracker({});
   tracker.OnAccepted(revision{1});
+  known_nodes known;
+  known_nodes_batch recorded;
+  for (const node_identity& node : names) recorded.added.push_back(node.name);
+  known.Apply(revision{1}, recorded);
   constexpr int kRounds = 20;
   const double seconds = SecondsOf([&]() {
     for (int i = 0; i < kRounds; ++i) {
-      tracker.Update({all}, names, {},
-                     time_point(std::chrono::milliseconds(i)));
+      const time_point now{std::chrono::milliseconds(i)};
+      tracker.Expect(known, {}, now);
+      tracker.Update({all}, names, {}, now);
+      tracker.Unrecorded(known, now);
     }
   });
   figures.Add({"control", "in-force update with 11000 nodes",
--- a/include/tamaracklatch/control/in_force_tracker.h
+++ b/include/tamaracklatch/control/in_force_tracker.h
@@ -100,7 +100,8 @@
 
   bool IsMember(const node_identity& node) const;
   bool IsForgotten(const node_state& state, time_point now) const;
-  bool IsEverywhere(revision at) const;
+  // All nodes are heard, and the sums show that they have applied `at`.
+  bool SumsAgree(revision at) const;
   // Members none of whose processes was heard of by this leader.
   std::vector<std::string> UnheardMembers() const;
 
--- a/src/control/in_force_tracker.cc
+++ b/src/control/in_force_tracker.cc
@@ -138,19 +138,21 @@
 
   sum_ = sum;
   std::vector<revision> in_force;
+  std::optional<bool> members_are_heard;  // looked at only when it matters
   for (watched& entry : watched_) {
-    if (entry.everywhere_since || !IsEverywhere(entry.at)) continue;
+    if (entry.everywhere_since || !SumsAgree(entry.at)) continue;
+    if (!members_are_heard) members_are_heard = UnheardMembers().empty();
+    if (!*members_are_heard) break;
     entry.everywhere_since = now;
     in_force.push_back(entry.at);
   }
   return in_force;
 }
 
-bool in_force_tracker::IsEverywhere(revision at) const {
+bool in_force_tracker::SumsAgree(revision at) const {
   if (nodes_.empty() || silent_ > 0) return false;
   const progress applied = AppliedAtLeast(sum_, at);
-  return applied.nodes == nodes_.size() && applied.identities == identities_ &&
-         UnheardMembers().empty();
+  return applied.nodes == nodes_.size() && applied.identities == identities_;
 }
 
 in_force_status in_force_tracker::Status(revision at) const {
