--- a/src/daemon/control_api.h
+++ b/src/daemon/control_api.h
@@ -68,7 +68,7 @@
               const http_reply& reply);
   void Drain(const std::string& service, const http_request& request,
              const http_reply& reply);
-  void ProposeMembership(const membership_batch& batch, consensus_reply reply);
+  void Propose(control_body body, consensus_reply reply);
   void ChangeVoters(const http_request& request, const http_reply& reply);
   void ShowService(const std::string& service, const http_request& request,
                    const http_reply& reply);
@@ -78,6 +78,7 @@
   // Answers by `show` once this VM is known to lead with all that was accepted.
   void AfterRead(const http_reply& reply, std::function<void()> show);
   void TellSubmission(const command_outcome& outcome);
+  void LookInForce();
   void TellInForce(revision at);
 
   process_frame* frame_;
@@ -92,6 +93,9 @@
   request_forward forward_;
   membership_watch watch_;
   std::function<void(const std::vector<refused_target>&)> on_refused_;
+  bool led_ = false;              // at the last look
+  std::uint64_t leadership_ = 0;  // counts from 1
+  std::uint64_t caught_up_ = 0;   // the leadership that has all entries
 };
 
 }  // namespace tamaracklatch
