Tell that a process stood still; export histograms as their owners counted them

Cause: event 1012 was in the catalogue and in the stories of explain, but nothing emitted it, so a process that was stopped for seconds left no line. Histograms could only be filled through the registry, one look-up and one list of bounds for each value; state machines without I/O could not keep any.

Change: standstill_watch tells a late timer, or a suspend by the boot clock, once. fixed_histogram is what a state machine counts; the daemon hands the counts to the registry when /metrics is asked, so a process that nobody scrapes pays neither memory nor look-ups. timer_delay_seconds goes that way.

Ruled out: a timer of its own for the watch (one more wake-up); the timers that run anyway are enough.

Tests: standstill_watch_test, metrics_test; the histogram test checks the same buckets as before and the sum.

--- a/include/tamaracklatch/flow/flow_counters.h
+++ b/include/tamaracklatch/flow/flow_counters.h
@@ -19,6 +19,15 @@
   void Add(result_code code) { ++counts_[IndexOf(code)]; }
   std::uint64_t Of(result_code code) const { return counts_[IndexOf(code)]; }
 
+  // Calls `tell` with each code that was counted, and its count.
+  template <typename Tell>
+  void ForEach(Tell tell) const {
+    for (std::size_t at = 0; at < counts_.size(); ++at) {
+      if (counts_[at] != 0)
+        tell(static_cast<result_code>(kFirst + at), counts_[at]);
+    }
+  }
+
  private:
   static std::size_t IndexOf(result_code code) {
     const auto number = static_cast<std::uint16_t>(code);
--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -8,8 +8,8 @@
 #include <prometheus/text_serializer.h>
 
 #include <functional>
-#include <iterator>
 #include <map>
+#include <vector>
 
 namespace tamaracklatch {
 namespace {
@@ -58,6 +58,8 @@
   family_table<prometheus::Counter> counters;
   family_table<prometheus::Gauge> gauges;
   family_table<prometheus::Histogram> histograms;
+  // What SetHistogramTotals has added to each so far.
+  std::map<const prometheus::Histogram*, histogram_totals> added;
 };
 
 metrics::metrics(const std::string& process, const std::string& zone)
@@ -84,26 +86,43 @@
 }
 
 void metrics::SetTotal(std::string_view name, std::string_view help,
-                       double total) {
+                       double total, std::string_view label) {
   prometheus::Counter& counter = state_->Member(
-      &state_->counters, prometheus::BuildCounter(), name, help, "", "");
+      &state_->counters, prometheus::BuildCounter(), name, help, "kind", label);
   const double more = total - counter.Value();
   if (more > 0) counter.Increment(more);
 }
 
-void metrics::Set(std::string_view name, std::string_view help, double value) {
-  state_->Member(&state_->gauges, prometheus::BuildGauge(), name, help, "", "")
-      .Set(value);
+void metrics::SetCodes(std::string_view name, std::string_view help,
+                       const refusal_counters& totals) {
+  totals.ForEach([&](result_code code, std::uint64_t total) {
+    prometheus::Counter& counter =
+        state_->Member(&state_->counters, prometheus::BuildCounter(), name,
+                       help, "code", ToString(code));
+    const double more = static_cast<double>(total) - counter.Value();
+    if (more > 0) counter.Increment(more);
+  });
 }
 
-void metrics::Observe(std::string_view name, std::string_view help,
-                      std::chrono::duration<double> span) {
+void metrics::Set(std::string_view name, std::string_view help, double value,
+                  std::string_view label) {
   state_
-      ->Member(&state_->histograms, prometheus::BuildHistogram(), name, help,
-               "", "",
-               prometheus::Histogram::BucketBoundaries(
-                   std::begin(kSecondsBuckets), std::end(kSecondsBuckets)))
-      .Observe(span.count());
+      ->Member(&state_->gauges, prometheus::BuildGauge(), name, help, "kind",
+               label)
+      .Set(value);
+}
+
+void metrics::SetHistogramTotals(std::string_view name, std::string_view help,
+                                 const histogram_totals& totals) {
+  prometheus::Histogram& histogram = state_->Member(
+      &state_->histograms, prometheus::BuildHistogram(), name, help, "", "",
+      prometheus::Histogram::BucketBoundaries(totals.bounds));
+  histogram_totals& added = state_->added[&histogram];
+  added.counts.resize(totals.counts.size());
+  std::vector<double> more = totals.counts;
+  for (std::size_t i = 0; i < more.size(); ++i) more[i] -= added.counts[i];
+  histogram.ObserveMultiple(more, totals.sum - added.sum);
+  added = totals;
 }
 
 std::string metrics::Text() const {
--- a/src/daemon/metrics.h
+++ b/src/daemon/metrics.h
@@ -3,12 +3,14 @@
 // checks the list.
 #pragma once
 
-#include <chrono>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
+#include "tamaracklatch/core/fixed_histogram.h"
 #include "tamaracklatch/core/result_code.h"
+#include "tamaracklatch/flow/flow_counters.h"
 
 namespace tamaracklatch {
 
@@ -30,26 +32,47 @@
   void CountCode(std::string_view name, std::string_view help,
                  result_code code);
 
-  // Sets a counter to what its owner has counted; it only rises.
-  void SetTotal(std::string_view name, std::string_view help, double total);
+  // Sets a counter to what its owner has counted; it only rises. The label is
+  // called "kind".
+  void SetTotal(std::string_view name, std::string_view help, double total,
+                std::string_view label = "");
 
-  // Sets a gauge.
-  void Set(std::string_view name, std::string_view help, double value);
+  // Sets the counters of a name, one for each result code that was counted,
+  // with the label "code".
+  void SetCodes(std::string_view name, std::string_view help,
+                const refusal_counters& totals);
 
-  // Adds a span to a histogram of seconds, whose buckets are kSecondsBuckets.
-  void Observe(std::string_view name, std::string_view help,
-               std::chrono::duration<double> span);
+  // Sets a gauge. The label is called "kind".
+  void Set(std::string_view name, std::string_view help, double value,
+           std::string_view label = "");
+
+  // Sets a histogram to what its owner has counted.
+  template <typename Ranges>
+  void SetHistogram(std::string_view name, std::string_view help,
+                    const fixed_histogram<Ranges>& counted) {
+    histogram_totals totals;
+    for (const std::int64_t bound : Ranges::kUpper)
+      totals.bounds.push_back(static_cast<double>(bound) * Ranges::kUnit);
+    totals.counts.assign(counted.counts().begin(), counted.counts().end());
+    totals.sum = static_cast<double>(counted.sum()) * Ranges::kUnit;
+    SetHistogramTotals(name, help, totals);
+  }
 
   // The text that /metrics answers.
   std::string Text() const;
 
  private:
   struct state;
+  struct histogram_totals {
+    std::vector<double> bounds;
+    std::vector<double> counts;  // one more than bounds
+    double sum = 0.0;
+  };
+
+  void SetHistogramTotals(std::string_view name, std::string_view help,
+                          const histogram_totals& totals);
+
   std::unique_ptr<state> state_;
 };
 
-// Upper bounds of the buckets of every histogram, in seconds.
-inline constexpr double kSecondsBuckets[] = {
-    0.0001, 0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0};
-
 }  // namespace tamaracklatch
--- a/src/daemon/process_frame.cc
+++ b/src/daemon/process_frame.cc
@@ -1,19 +1,25 @@
 // The common frame of the daemons.
 #include "daemon/process_frame.h"
 
+#include <fmt/format.h>
 #include <sodium.h>
 #include <sys/resource.h>
+#include <time.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <csignal>
 #include <fstream>
+#include <utility>
 
 namespace tamaracklatch {
 namespace {
 
 constexpr std::chrono::milliseconds kLogRetry{50};
 
+// A shorter standstill holds up no announcement long enough to be missed.
+constexpr std::chrono::milliseconds kLeastStandstill{500};
+
 std::uint64_t RandomNumber() {
   std::uint64_t number = 0;
   while (number == 0) randombytes_buf(&number, sizeof(number));
@@ -40,6 +46,15 @@
   return time_point(std::chrono::duration_cast<duration>(since_start));
 }
 
+// Goes on while the VM is suspended.
+time_point BootClock() {
+  timespec now{};
+  if (clock_gettime(CLOCK_BOOTTIME, &now) != 0) return SteadyClock();
+  return time_point(std::chrono::seconds(now.tv_sec) +
+                    std::chrono::duration_cast<duration>(
+                        std::chrono::nanoseconds(now.tv_nsec)));
+}
+
 double Seconds(const timeval& time) {
   constexpr double kMicrosecond = 1e-6;
   return static_cast<double>(time.tv_sec) +
@@ -71,10 +86,8 @@
     timer.expires_after(interval);
     timer.async_wait([this](asio::error_code error) {
       if (error) return;
-      frame->counts_.Observe(
-          "tamaracklatch_timer_delay_seconds",
-          "How late timers of the event loop fire, in seconds.",
-          asio::steady_timer::clock_type::now() - timer.expiry());
+      frame->OnTickerFired(time_point(std::chrono::duration_cast<duration>(
+          timer.expiry().time_since_epoch())));
       work();
       Schedule();
     });
@@ -93,7 +106,8 @@
       reload_signals_(loop_),
       random_(RandomNumber()),
       counts_(settings.name, settings.zone),
-      log_timer_(loop_) {
+      log_timer_(loop_),
+      standstill_(kLeastStandstill) {
   // A reader of the log that ends must not end the process.
   std::signal(SIGPIPE, SIG_IGN);
   timeline_ = OpenTimeline(settings, &clock_.clock());
@@ -120,6 +134,7 @@
                          const http_request& request, const http_reply& reply) {
     if (request.path == "/metrics") {
       CountUsage();
+      for (const auto& work : on_scrape_) work();
       return reply({200, "text/plain; version=0.0.4", {}, counts_.Text()});
     }
     if (handler) return handler(request, reply);
@@ -146,7 +161,20 @@
   SayProcess(event_id::kProcessStopped, "");
 }
 
-// What the process uses, as the system says.
+void process_frame::OnTickerFired(time_point due) {
+  const time_point now = SteadyClock();
+  timer_delay_.Add(now - due);
+  const auto stood = standstill_.OnTimer(due, now, BootClock());
+  if (!stood) return;
+  event what;
+  what.id = event_id::kProcessResumed;
+  const std::int64_t milliseconds = *stood / std::chrono::milliseconds(1);
+  what.detail = fmt::format("stood still for {} ms", milliseconds);
+  what.inputs = {{"stood_ms", milliseconds}};
+  events().OnEvent(what);
+}
+
+// What the process uses, as the system says, and how it keeps up.
 void process_frame::CountUsage() {
   rusage usage{};
   if (getrusage(RUSAGE_SELF, &usage) == 0) {
@@ -154,6 +182,9 @@
                      "Processor time since the start.",
                      Seconds(usage.ru_utime) + Seconds(usage.ru_stime));
   }
+  counts_.SetHistogram("tamaracklatch_timer_delay_seconds",
+                       "How late timers of the event loop fire, in seconds.",
+                       timer_delay_);
   std::ifstream memory("/proc/self/statm");
   std::uint64_t size = 0;
   std::uint64_t resident = 0;
@@ -197,6 +228,10 @@
   });
 }
 
+void process_frame::OnScrape(std::function<void()> work) {
+  on_scrape_.push_back(std::move(work));
+}
+
 void process_frame::Every(std::chrono::milliseconds interval,
                           std::function<void()> work) {
   tickers_.push_back(std::make_unique<ticker>(this, interval, std::move(work)));
--- a/src/daemon/process_frame.h
+++ b/src/daemon/process_frame.h
@@ -6,10 +6,13 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "daemon/event_log.h"
 #include "daemon/http_server.h"
 #include "daemon/metrics.h"
+#include "daemon/standstill_watch.h"
+#include "tamaracklatch/core/fixed_histogram.h"
 #include "tamaracklatch/core/random.h"
 #include "tamaracklatch/core/time.h"
 #include "tamaracklatch/daemon/settings.h"
@@ -51,6 +54,10 @@
   // Calls `work` on each SIGHUP.
   void OnReload(std::function<void()> work);
 
+  // Calls `work` before /metrics is answered: it sets what is not counted as it
+  // happens.
+  void OnScrape(std::function<void()> work);
+
   // Calls `work` every `interval` for as long as the process runs.
   void Every(std::chrono::milliseconds interval, std::function<void()> work);
 
@@ -69,6 +76,7 @@
   struct ticker;
 
   void WaitForReload();
+  void OnTickerFired(time_point due);
   void CountUsage();
   void FlushLog();
   void SayProcess(event_id id, const std::string& detail);
@@ -89,6 +97,9 @@
   std::vector<std::unique_ptr<ticker>> tickers_;
   std::function<void()> on_stop_;
   std::function<void()> on_reload_;
+  std::vector<std::function<void()>> on_scrape_;
+  standstill_watch standstill_;
+  span_histogram timer_delay_;
   bool stopping_ = false;
 };
 
--- a/tests/daemon/metrics_test.cc
+++ b/tests/daemon/metrics_test.cc
@@ -58,17 +58,52 @@
   cr_expect(ValueOf(counts, "a") == "6");
 }
 
+Test(metrics, labelled_totals_gauges_and_codes) {
+  metrics counts("p", "z");
+  counts.SetTotal("a_total", "A.", 2.0, "x");
+  counts.SetTotal("a_total", "A.", 3.0, "y");
+  counts.SetTotal("a_total", "A.", 5.0, "x");
+  cr_expect(ValueOf(counts, "a_total", "kind=\"x\"") == "5");
+  cr_expect(ValueOf(counts, "a_total", "kind=\"y\"") == "3");
+  counts.Set("g", "G.", 1.5, "x");
+  cr_expect(ValueOf(counts, "g", "kind=\"x\"") == "1.5");
+  refusal_counters totals;
+  for (int scrapes = 1; scrapes <= 2; ++scrapes) {
+    totals.Add(result_code::kNoTarget);
+    counts.SetCodes("c_total", "C.", totals);
+    cr_expect(ValueOf(counts, "c_total", "code=\"no_target\"") ==
+              std::to_string(scrapes));
+  }
+  cr_expect(ValueOf(counts, "c_total", "code=\"search_ended\"") == "absent");
+}
+
 Test(metrics, histograms_of_seconds) {
   metrics counts("p", "z");
+  span_histogram spans;
+  // A second look at what was counted adds what is new only.
   for (const int milliseconds : {1, 4, 30, 20000}) {
-    counts.Observe("a_seconds", "A.", std::chrono::milliseconds(milliseconds));
+    spans.Add(std::chrono::milliseconds(milliseconds));
+    counts.SetHistogram("a_seconds", "A.", spans);
   }
   cr_expect(ValueOf(counts, "a_seconds_count") == "4");
+  cr_expect(ValueOf(counts, "a_seconds_sum") == "20.035");
   cr_expect(ValueOf(counts, "a_seconds_bucket", "le=\"0.001\"") == "1");
   cr_expect(ValueOf(counts, "a_seconds_bucket", "le=\"0.005\"") == "2");
   cr_expect(ValueOf(counts, "a_seconds_bucket", "le=\"10\"") == "3");
   cr_expect(ValueOf(counts, "a_seconds_bucket", "le=\"+Inf\"") == "4");
 }
 
+Test(metrics, histograms_of_visits) {
+  metrics counts("p", "z");
+  visit_histogram visits;
+  for (const std::uint32_t each : {0U, 0U, 2U, 5U, 1000U}) visits.Add(each);
+  counts.SetHistogram("a", "A.", visits);
+  cr_expect(ValueOf(counts, "a_bucket", "le=\"0\"") == "2");
+  cr_expect(ValueOf(counts, "a_bucket", "le=\"2\"") == "3");
+  cr_expect(ValueOf(counts, "a_bucket", "le=\"8\"") == "4");
+  cr_expect(ValueOf(counts, "a_count") == "5");
+  cr_expect(ValueOf(counts, "a_sum") == "1007");
+}
+
 }  // namespace
 }  // namespace tamaracklatch
