--- a/src/steering/segment_router.cc
+++ b/src/steering/segment_router.cc
@@ -2,8 +2,6 @@
 // segments at the owner that a hint named or along the search order.
 #include "tamaracklatch/steering/segment_router.h"
 
-#include <fmt/format.h>
-
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -47,11 +45,6 @@
 // Makes the choice of the service independent of that of the target.
 constexpr std::uint64_t kShareSalt = 0x73686172650a0a0a;
 
-std::string TellCaller(const flow_key& key) {
-  return fmt::format("caller {}",
-                     ToString(endpoint{key.source, key.source_port}));
-}
-
 }  // namespace
 
 std::size_t segment_router::address_hash::operator()(
@@ -244,12 +237,15 @@
       placed.service = each.service;
       placed.flow = flow;
       placed.peer = ToString(to.where);
-      placed.detail = fmt::format(
-          "{}, route {}, set {}, copy {}, load {}/256 of {} slots, told {} ms "
-          "ago, one of {}",
-          TellCaller(what.key), by.name, set_version_, what.copy, to.load,
-          to.slots, (now - to.changed) / std::chrono::milliseconds(1),
-          ranked_.size());
+      placed.key = what.key;
+      placed.route = by.name;
+      placed.version = set_version_;
+      placed.inputs = {
+          {"copy", std::int64_t{what.copy}},
+          {"load_256ths", std::int64_t{to.load}},
+          {"slots", std::int64_t{to.slots}},
+          {"told_ms_ago", (now - to.changed) / std::chrono::milliseconds(1)},
+          {"ranked", static_cast<std::int64_t>(ranked_.size())}};
       listener_->OnEvent(placed);
     }
     sent_[target] = {SentOpenings(target, now) + 1.0, now};
@@ -383,10 +379,8 @@
     reset.id = event_id::kSegmentReset;
     reset.flow = flow;
     reset.code = why;
-    reset.detail = fmt::format(
-        "{}, address {}, set {}", TellCaller(what.key),
-        ToString(endpoint{what.key.destination, what.key.destination_port}),
-        set_version_);
+    reset.key = what.key;
+    reset.version = set_version_;
     listener_->OnEvent(reset);
   }
   return refuse_segment{why};
