Count events beside the log, not through the registry

Cause: each event cost up to three look-ups by name in the metrics, and kept series in memory that nobody asked for. Change: event_log keeps numbers and hands them over when /metrics is asked. Label and values are the same. Test: counts_are_in_the_metrics_once.

--- a/src/daemon/event_log.cc
+++ b/src/daemon/event_log.cc
@@ -113,21 +113,17 @@
 }
 
 void event_log::OnEvent(const event& what) {
-  counts_->Count("tamaracklatch_events_total", "Events by name.", 1.0,
-                 ToString(what.id));
-  if (what.code != result_code::kOk) {
-    counts_->CountCode("tamaracklatch_event_codes_total",
-                       "Events that name a result code, by code.", what.code);
-  }
+  ++seen_[what.id];
+  if (what.code != result_code::kOk) ++codes_[what.code];
   const log_level level =
       what.code == result_code::kOk ? log_level::kInfo : log_level::kWarning;
   if (level >= settings_.level) {
     const log_time when = now_();
     if (!budget_.Take(what.id, when.steady)) {
-      CountDropped(what.id);
+      ++left_out_[what.id];
     } else if (!Write(what, when)) {
       budget_.CountDropped(what.id);
-      CountDropped(what.id);
+      ++left_out_[what.id];
     }
     if (!awake_ && wake_) {
       awake_ = true;
@@ -137,9 +133,21 @@
   if (next_ != nullptr) next_->OnEvent(what);
 }
 
-void event_log::CountDropped(event_id kind) {
-  counts_->Count("tamaracklatch_log_lines_dropped_total",
-                 "Lines that the log left out, by event.", 1.0, ToString(kind));
+void event_log::Export() const {
+  for (const auto& [kind, total] : seen_) {
+    counts_->SetTotal("tamaracklatch_events_total", "Events by name.",
+                      static_cast<double>(total), ToString(kind));
+  }
+  for (const auto& [code, total] : codes_) {
+    counts_->SetTotal("tamaracklatch_event_codes_total",
+                      "Events that name a result code, by code.",
+                      static_cast<double>(total), ToString(code), "code");
+  }
+  for (const auto& [kind, total] : left_out_) {
+    counts_->SetTotal("tamaracklatch_log_lines_dropped_total",
+                      "Lines that the log left out, by event.",
+                      static_cast<double>(total), ToString(kind));
+  }
 }
 
 bool event_log::Write(const event& what, const log_time& when) {
--- a/src/daemon/event_log.h
+++ b/src/daemon/event_log.h
@@ -2,7 +2,9 @@
 // within a budget of lines and never waits for the reader.
 #pragma once
 
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -46,6 +48,9 @@
 
   void OnEvent(const event& what) override;
 
+  // Sets the counters of the metrics to what was counted here.
+  void Export() const;
+
   // Writes what the reader takes, and says what was left out. Returns whether
   // nothing is left to do.
   bool Flush();
@@ -53,7 +58,6 @@
  private:
   struct plumbing;
 
-  void CountDropped(event_id kind);
   bool Write(const event& what, const log_time& when);
   void SayDropped(const log_time& when);
 
@@ -63,6 +67,10 @@
   std::function<void()> wake_;
   event_listener* next_ = nullptr;
   log_budget budget_;
+  // Since the start: events, those with a code, lines left out.
+  std::map<event_id, std::uint64_t> seen_;
+  std::map<result_code, std::uint64_t> codes_;
+  std::map<event_id, std::uint64_t> left_out_;
   log_line_writer writer_;
   std::unique_ptr<plumbing> plumbing_;
   std::optional<time_point> said_;  // when lines left out were last said
--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -77,18 +77,12 @@
       .Increment(amount);
 }
 
-void metrics::CountCode(std::string_view name, std::string_view help,
-                        result_code code) {
-  state_
-      ->Member(&state_->counters, prometheus::BuildCounter(), name, help,
-               "code", ToString(code))
-      .Increment();
-}
-
 void metrics::SetTotal(std::string_view name, std::string_view help,
-                       double total, std::string_view label) {
-  prometheus::Counter& counter = state_->Member(
-      &state_->counters, prometheus::BuildCounter(), name, help, "kind", label);
+                       double total, std::string_view label,
+                       std::string_view label_name) {
+  prometheus::Counter& counter =
+      state_->Member(&state_->counters, prometheus::BuildCounter(), name, help,
+                     label_name, label);
   const double more = total - counter.Value();
   if (more > 0) counter.Increment(more);
 }
@@ -96,11 +90,7 @@
 void metrics::SetCodes(std::string_view name, std::string_view help,
                        const refusal_counters& totals) {
   totals.ForEach([&](result_code code, std::uint64_t total) {
-    prometheus::Counter& counter =
-        state_->Member(&state_->counters, prometheus::BuildCounter(), name,
-                       help, "code", ToString(code));
-    const double more = static_cast<double>(total) - counter.Value();
-    if (more > 0) counter.Increment(more);
+    SetTotal(name, help, static_cast<double>(total), ToString(code), "code");
   });
 }
 
--- a/src/daemon/metrics.h
+++ b/src/daemon/metrics.h
@@ -28,17 +28,12 @@
   void Count(std::string_view name, std::string_view help, double amount = 1.0,
              std::string_view label = "");
 
-  // Adds one to a counter with the label "code", the result code's name.
-  void CountCode(std::string_view name, std::string_view help,
-                 result_code code);
-
-  // Sets a counter to what its owner has counted; it only rises. The label is
-  // called "kind".
+  // Sets a counter to what its owner has counted; it only rises.
   void SetTotal(std::string_view name, std::string_view help, double total,
-                std::string_view label = "");
+                std::string_view label = "",
+                std::string_view label_name = "kind");
 
-  // Sets the counters of a name, one for each result code that was counted,
-  // with the label "code".
+  // The same for each result code that was counted, with the label "code".
   void SetCodes(std::string_view name, std::string_view help,
                 const refusal_counters& totals);
 
--- a/tests/daemon/event_log_test.cc
+++ b/tests/daemon/event_log_test.cc
@@ -294,6 +294,28 @@
   });
 }
 
+Test(event_log, counts_are_in_the_metrics_once) {
+  trial run({1, 2});
+  for (int i = 0; i < 5; ++i) run.See(event_id::kLinkUp);
+  event refused;
+  refused.id = event_id::kFlowRefused;
+  refused.code = result_code::kNoTarget;
+  run.log->OnEvent(refused);
+  for (int scrapes = 0; scrapes < 2; ++scrapes) {
+    run.log->Export();
+    const std::string text = run.counts.Text();
+    const std::string labels = "{process=\"p\",zone=\"z\",";
+    const std::vector<std::string> rows{
+        "tamaracklatch_events_total" + labels + "kind=\"link_up\"} 5",
+        "tamaracklatch_events_total" + labels + "kind=\"flow_refused\"} 1",
+        "tamaracklatch_event_codes_total" + labels + "code=\"no_target\"} 1",
+        "tamaracklatch_log_lines_dropped_total" + labels +
+            "kind=\"link_up\"} 3"};
+    for (const std::string& row : rows)
+      cr_expect(text.find(row) != std::string::npos, "%s", row.c_str());
+  }
+}
+
 Test(event_log, wakes_once_until_flushed) {
   trial run;
   for (int i = 0; i < 3; ++i) run.See(event_id::kLinkUp);
--- a/tests/daemon/metrics_test.cc
+++ b/tests/daemon/metrics_test.cc
@@ -40,8 +40,8 @@
   counts.Count("a_total", "A.", 4.0, "x");
   cr_expect(ValueOf(counts, "a_total", "kind=\"x\"") == "6");
   cr_expect(ValueOf(counts, "a_total", "kind=\"y\"") == "3");
-  counts.CountCode("c_total", "C.", result_code::kNoTarget);
-  counts.CountCode("c_total", "C.", result_code::kNoTarget);
+  counts.SetTotal("c_total", "C.", 2.0, ToString(result_code::kNoTarget),
+                  "code");
   cr_expect(ValueOf(counts, "c_total", "code=\"no_target\"") == "2");
 }
 
