Add gauges of views and histograms of steering, roster and the log's syncs

Cause: steering and roster had counters by reason only; how long an opening waits for its first answer, how far it and a search travel, how long a record or set takes to be known, a sync, a commit, and how old a view is could not be seen.

A target daemon's lines carry the flow as fields, as the balancer's do.

--- a/include/tamaracklatch/roster/roster_hub.h
+++ b/include/tamaracklatch/roster/roster_hub.h
@@ -73,6 +73,10 @@
   // Datagrams that could not be read.
   std::uint64_t malformed() const { return malformed_; }
 
+  // From a change here until a node has said that it knows it, for the newest
+  // change of each of its announcements.
+  const span_histogram& in_view() const { return in_view_; }
+
  private:
   // What is known of a node besides its entry.
   struct peer {
@@ -124,6 +128,7 @@
   peer* AddPeer(const node_record& record, time_point now);
   void TakeRecord(peer* node, const node_record& record, time_point now);
   void SetLiveness(peer* node, node_liveness liveness, time_point now);
+  void NoteInView(std::uint64_t position, time_point now);
   void MarkHeard(peer* node, time_point now);
   void Bump(peer* node, bool urgent, time_point now);
   void Push(time_point now, sends* out);
@@ -153,6 +158,7 @@
   documents documents_;
   std::optional<confirmation> confirmed_;
   std::uint64_t malformed_ = 0;
+  span_histogram in_view_;
   std::map<endpoint, roster_entry> entries_;
   std::map<endpoint, peer> peers_;  // the same keys as entries_
   std::map<std::uint64_t, peer*> by_position_;
--- a/include/tamaracklatch/roster/roster_member.h
+++ b/include/tamaracklatch/roster/roster_member.h
@@ -27,6 +27,7 @@
 
 #include "tamaracklatch/control/document_set.h"
 #include "tamaracklatch/core/event.h"
+#include "tamaracklatch/core/fixed_histogram.h"
 #include "tamaracklatch/roster/node_record.h"
 
 namespace tamaracklatch {
@@ -70,6 +71,15 @@
 using roster_action =
     std::variant<roster_send, roster_changed, set_received, roster_report>;
 
+// Counted by a member, for /metrics.
+struct roster_member_counters {
+  std::uint64_t malformed = 0;  // datagrams that could not be read
+  // From an urgent change of the own record until the first hub has told that
+  // it knows it.
+  span_histogram announced;
+  span_histogram fetched;  // from hearing of a set until it is held
+};
+
 // Invariants: the version of the set never falls; of one endpoint only the
 // newest record is kept.
 class roster_member {
@@ -108,8 +118,9 @@
   // Whether some hub answers, and has told its whole roster.
   bool IsInTouch(time_point now) const;
 
-  // Datagrams that could not be read.
-  std::uint64_t malformed() const { return malformed_; }
+  // Hubs that answer and have told their whole roster.
+  std::size_t hubs_in_touch(time_point now) const;
+  const roster_member_counters& counters() const { return counters_; }
 
  private:
   // Hubs as a set of bits; one with no bit left is not used.
@@ -217,7 +228,11 @@
   document_set set_;
   std::optional<time_point> confirmed_;
   std::unique_ptr<set_fetcher> fetcher_;
-  std::uint64_t malformed_ = 0;
+  // When the own record changed that no hub has told to know; none: all do.
+  std::optional<time_point> unannounced_;
+  // When the newest set that is told of but not held was first told of.
+  std::optional<time_point> told_of_set_;
+  roster_member_counters counters_;
 };
 
 }  // namespace tamaracklatch
--- a/include/tamaracklatch/steering/steering_counters.h
+++ b/include/tamaracklatch/steering/steering_counters.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 
+#include "tamaracklatch/core/fixed_histogram.h"
 #include "tamaracklatch/flow/flow_counters.h"
 
 namespace tamaracklatch {
@@ -33,6 +34,11 @@
   refusal_counters reset;       // callers sent a reset
   refusal_counters discarded;   // segments dropped
   refusal_counters forgotten;   // flows
+  span_histogram first_answer;  // from an opening to the target's answer
+  // Visits at other target daemons before this one.
+  visit_histogram opening_visits;        // of openings taken
+  visit_histogram search_visits;         // of segments found to be its own
+  visit_histogram failed_search_visits;  // of segments with no owner found
 };
 
 }  // namespace tamaracklatch
--- a/src/daemon/consensus_agent.cc
+++ b/src/daemon/consensus_agent.cc
@@ -17,7 +17,9 @@
       storage_({settings_.data_folder}),
       timer_(frame->loop()),
       writer_(&storage_, [this](const std::optional<failure>& refused) {
-        asio::post(frame_->loop(), [this, refused] { OnWritten(refused); });
+        asio::post(frame_->loop(), [this, refused, took = writer_.took()] {
+          OnWritten(refused, took);
+        });
       }) {}
 
 bool consensus_agent::Start(failure* last_failure) {
@@ -33,13 +35,29 @@
     frame_->counts().Count("tamaracklatch_malformed_messages_total",
                            "Messages that could not be read.");
   });
+  frame_->OnScrape([this] { Export(); });
   FlushSoon();
   return true;
 }
 
+void consensus_agent::Export() const {
+  metrics& counts = frame_->counts();
+  counts.SetHistogram("tamaracklatch_sync_seconds",
+                      "Writing and syncing a batch of the log.", synced_);
+  counts.SetHistogram("tamaracklatch_commit_seconds",
+                      "From a proposal here until a quorum holds it.",
+                      committed_);
+  counts.Set("tamaracklatch_leader", "1 at the control VM that leads.",
+             node().role() == consensus_role::kLeader ? 1.0 : 0.0);
+}
+
 void consensus_agent::Propose(std::string command, consensus_reply reply) {
   const std::uint64_t id = next_id_++;
-  waiting_[id] = std::move(reply);
+  waiting_[id] = [this, asked = frame_->Now(), reply = std::move(reply)](
+                     result_code code, revision index) {
+    if (code == result_code::kOk) committed_.Add(frame_->Now() - asked);
+    reply(code, index);
+  };
   Handle(command_proposed{id, std::move(command)});
 }
 
@@ -65,7 +83,9 @@
   FlushSoon();
 }
 
-void consensus_agent::OnWritten(const std::optional<failure>& refused) {
+void consensus_agent::OnWritten(const std::optional<failure>& refused,
+                                duration took) {
+  synced_.Add(took);
   runner_->OnWritten(refused, frame_->Now());
   FlushSoon();
 }
--- a/src/daemon/consensus_agent.h
+++ b/src/daemon/consensus_agent.h
@@ -64,10 +64,11 @@
 
  private:
   void Handle(const consensus_input& input);
-  void OnWritten(const std::optional<failure>& refused);
+  void OnWritten(const std::optional<failure>& refused, duration took);
   void FlushSoon();
   void Schedule();
   void Answer(std::uint64_t id, result_code code, revision index);
+  void Export() const;
 
   process_frame* frame_;
   link_hub* hub_;
@@ -80,6 +81,8 @@
   std::map<std::uint64_t, consensus_reply>
       waiting_;  // by the id of the proposal or read
   std::uint64_t next_id_ = 1;
+  span_histogram synced_;     // batches
+  span_histogram committed_;  // proposals that the log took
   bool flush_posted_ = false;
 };
 
--- a/src/daemon/process_frame.cc
+++ b/src/daemon/process_frame.cc
@@ -134,6 +134,7 @@
                          const http_request& request, const http_reply& reply) {
     if (request.path == "/metrics") {
       CountUsage();
+      log_->Export();
       for (const auto& work : on_scrape_) work();
       return reply({200, "text/plain; version=0.0.4", {}, counts_.Text()});
     }
--- a/src/daemon/roster_agent.cc
+++ b/src/daemon/roster_agent.cc
@@ -42,6 +42,7 @@
   if (!port_.Start(member_.own().where, port_sharing::kAlone, last_failure))
     return false;
   OnTimer();
+  frame_->OnScrape([this] { Export(); });
   return true;
 }
 
@@ -118,4 +119,48 @@
   Schedule();
 }
 
+void roster_agent::Export() const {
+  metrics& counts = frame_->counts();
+  const time_point now = frame_->Now();
+  const auto tell_nodes = [&](node_liveness liveness, std::string_view name) {
+    const auto count = std::count_if(
+        member_.entries().begin(), member_.entries().end(),
+        [&](const auto& each) { return each.second.liveness == liveness; });
+    counts.Set("tamaracklatch_roster_nodes",
+               "Nodes known, by whether they are heard.",
+               static_cast<double>(count), name);
+  };
+  tell_nodes(node_liveness::kAlive, "alive");
+  tell_nodes(node_liveness::kSilent, "silent");
+  tell_nodes(node_liveness::kGone, "gone");
+  counts.Set("tamaracklatch_hubs_in_touch",
+             "Control VMs that answer and have told their whole roster.",
+             static_cast<double>(member_.hubs_in_touch(now)));
+  if (member_.set().version != 0) {
+    counts.Set("tamaracklatch_set_version",
+               "Version of the document set in force here.",
+               static_cast<double>(member_.set().version));
+  }
+  if (const auto confirmed = member_.confirmed()) {
+    counts.Set("tamaracklatch_set_confirmed_age_seconds",
+               "Since the quorum last confirmed that set.",
+               std::chrono::duration<double>(now - *confirmed).count());
+  }
+  const roster_member_counters& counted = member_.counters();
+  counts.SetTotal("tamaracklatch_roster_malformed_total",
+                  "Datagrams of hubs that could not be read.",
+                  static_cast<double>(counted.malformed));
+  counts.SetHistogram("tamaracklatch_record_announced_seconds",
+                      "From a change of the own record to a hub's answer.",
+                      counted.announced);
+  counts.SetHistogram("tamaracklatch_set_fetch_seconds",
+                      "From hearing of a document set to holding it.",
+                      counted.fetched);
+  if (hub_) {
+    counts.SetHistogram("tamaracklatch_change_in_view_seconds",
+                        "From a change at this hub to a node that knows it.",
+                        hub_->in_view());
+  }
+}
+
 }  // namespace tamaracklatch
--- a/src/daemon/roster_agent.h
+++ b/src/daemon/roster_agent.h
@@ -68,6 +68,7 @@
   void SendAll(const roster_hub::sends& sends);
   void Schedule();
   void OnTimer();
+  void Export() const;
 
   process_frame* frame_;
   roster_listener* listener_;
--- a/src/daemon/steering_balancer.cc
+++ b/src/daemon/steering_balancer.cc
@@ -62,6 +62,7 @@
     return 1;
   }
   frame_.Every(kCheckInterval, [this] { Check(); });
+  frame_.OnScrape([this] { Export(); });
   frame_.Run([this] { BeginStop(); });
   return 0;
 }
@@ -114,6 +115,31 @@
                         std::string(ToString(code)));
 }
 
+void steering_balancer::Export() {
+  metrics& counts = frame_.counts();
+  const segment_router_counters& counted = router_.counters();
+  const auto total = [](std::uint64_t count) {
+    return static_cast<double>(count);
+  };
+  counts.SetTotal("tamaracklatch_openings_placed_total",
+                  "Segments that open, sent to a target daemon.",
+                  total(counted.openings));
+  constexpr const char* kForwarded = "Other segments forwarded, by what led.";
+  counts.SetTotal("tamaracklatch_segments_forwarded_total", kForwarded,
+                  total(counted.cached), "owner");
+  counts.SetTotal("tamaracklatch_segments_forwarded_total", kForwarded,
+                  total(counted.guessed), "opening");
+  counts.SetTotal("tamaracklatch_segments_forwarded_total", kForwarded,
+                  total(counted.searched), "search");
+  counts.SetCodes("tamaracklatch_resets_sent_total",
+                  "Callers that were sent a reset, by reason.",
+                  counted.refused);
+  counts.Set("tamaracklatch_cached_flows", "Flows in the owner cache.",
+             total(router_.cached_flows()));
+  counts.Set("tamaracklatch_ready", "1 where new flows should come here.",
+             ready_ ? 1.0 : 0.0);
+}
+
 void steering_balancer::OnHint(const endpoint& from, std::string_view bytes) {
   failure why;
   std::string_view rest;
--- a/src/daemon/steering_balancer.h
+++ b/src/daemon/steering_balancer.h
@@ -54,6 +54,7 @@
   void Do(const refuse_segment& action, const segment& what);
   void Do(const drop_segment& action, const segment& what);
   void CountRefused(result_code code);
+  void Export();
   bool IsViewConfirmed(time_point now) const;
   void Check();
   void BeginStop();
--- a/src/daemon/steering_control.cc
+++ b/src/daemon/steering_control.cc
@@ -80,6 +80,11 @@
     return 1;
   }
   frame_.Every(kTickInterval, [this] { Tick(); });
+  frame_.OnScrape([this] {
+    frame_.counts().Set("tamaracklatch_set_version",
+                        "Version of the document set in force here.",
+                        static_cast<double>(published_));
+  });
   frame_.Every(kConfirmInterval, [this] { ConfirmSet(); });
   frame_.Run([this] { frame_.Stop(); });
   return 0;
--- a/src/daemon/steering_target.cc
+++ b/src/daemon/steering_target.cc
@@ -80,6 +80,7 @@
   }
   owner_.SetGeneration(roster_.member().own().generation);
   frame_.Every(kTickInterval, [this] { Tick(); });
+  frame_.OnScrape([this] { Export(); });
   frame_.Run([this] { BeginStop(); });
   return 0;
 }
@@ -212,6 +213,57 @@
                         std::string(tamaracklatch::ToString(code)));
 }
 
+void steering_target::Export() {
+  metrics& counts = frame_.counts();
+  const segment_owner_counters& counted = owner_.counters();
+  const auto total = [](std::uint64_t count) {
+    return static_cast<double>(count);
+  };
+  counts.SetTotal("tamaracklatch_segments_delivered_total",
+                  "Segments handed to the target.", total(counted.delivered));
+  counts.SetTotal("tamaracklatch_segments_answered_total",
+                  "Segments of the target sent to callers.",
+                  total(counted.answered));
+  counts.SetTotal("tamaracklatch_segments_returned_total",
+                  "Segments handed back by the target.",
+                  total(counted.returned));
+  counts.SetTotal("tamaracklatch_segments_searched_total",
+                  "Segments passed on in search of their flow's owner.",
+                  total(counted.searched));
+  counts.SetTotal("tamaracklatch_openings_taken_total",
+                  "Flows whose opening was handed to the target.",
+                  total(counted.taken));
+  counts.SetTotal("tamaracklatch_flows_claimed_total",
+                  "Flows whose caller took the target's answer.",
+                  total(counted.claimed));
+  counts.SetCodes("tamaracklatch_openings_passed_total",
+                  "Openings passed on to another target daemon, by reason.",
+                  counted.passed);
+  counts.SetCodes("tamaracklatch_resets_sent_total",
+                  "Callers that were sent a reset, by reason.", counted.reset);
+  counts.SetCodes("tamaracklatch_flows_forgotten_total",
+                  "Flows whose record was dropped, by reason.",
+                  counted.forgotten);
+  counts.Set("tamaracklatch_flows", "Flows open now.",
+             total(owner_.flow_count()));
+  constexpr double kLoadUnit = 256.0;
+  counts.Set("tamaracklatch_target_load_slots",
+             "Smoothed load of the target, in slots.",
+             owner_.load() / kLoadUnit);
+  counts.SetHistogram("tamaracklatch_first_answer_seconds",
+                      "From an opening to the target's answer.",
+                      counted.first_answer);
+  counts.SetHistogram("tamaracklatch_opening_visits",
+                      "Daemons visited before by openings taken.",
+                      counted.opening_visits);
+  counts.SetHistogram("tamaracklatch_search_visits",
+                      "Daemons visited before by segments of own flows.",
+                      counted.search_visits);
+  counts.SetHistogram("tamaracklatch_failed_search_visits",
+                      "Daemons visited before by segments without an owner.",
+                      counted.failed_search_visits);
+}
+
 void steering_target::Tick() {
   const time_point now = frame_.Now();
   owner_.SetGeneration(roster_.member().own().generation);
--- a/src/daemon/steering_target.h
+++ b/src/daemon/steering_target.h
@@ -65,6 +65,7 @@
   void Do(const tell_balancer& action);
   void Do(const discard_segment& action);
   void CountDropped(result_code code);
+  void Export();
   void FollowTarget();
   void Refuse(result_code code, const std::string& detail);
   void Tick();
--- a/src/daemon/storage_thread.cc
+++ b/src/daemon/storage_thread.cc
@@ -2,6 +2,7 @@
 #include "daemon/storage_thread.h"
 
 #include <cassert>
+#include <chrono>
 #include <utility>
 
 namespace tamaracklatch {
@@ -35,7 +36,10 @@
     const storage_batch* batch = std::exchange(batch_, nullptr);
     lock.unlock();
     failure reason;
+    const auto begun = std::chrono::steady_clock::now();
     const bool written = storage_->Persist(*batch, &reason);
+    took_ = std::chrono::duration_cast<duration>(
+        std::chrono::steady_clock::now() - begun);
     reply_(written ? std::nullopt : std::make_optional(reason));
     lock.lock();
   }
--- a/src/daemon/storage_thread.h
+++ b/src/daemon/storage_thread.h
@@ -29,6 +29,10 @@
 
   void Write(const storage_batch& batch) override;
 
+  // How long the last batch took to be written and synced. For use in the
+  // reply.
+  duration took() const { return took_; }
+
  private:
   void Run();
 
@@ -38,6 +42,7 @@
   std::condition_variable changed_;
   const storage_batch* batch_ = nullptr;  // waits for the thread
   bool stopping_ = false;
+  duration took_{0};  // only the thread uses it
   std::thread thread_;
 };
 
--- a/src/roster/roster_hub.cc
+++ b/src/roster/roster_hub.cc
@@ -216,6 +216,7 @@
   }
   if (node != nullptr) {
     node->number = message->number;
+    if (known > node->known) NoteInView(known, now);
     node->known = known;
     MarkHeard(node, now);
     if (node->floor > record.generation) superseded = node->floor;
@@ -271,6 +272,12 @@
   }
 }
 
+// The change may have been overtaken by a newer one of the same node.
+void roster_hub::NoteInView(std::uint64_t position, time_point now) {
+  const auto change = by_position_.find(position);
+  if (change != by_position_.end()) in_view_.Add(now - change->second->told_at);
+}
+
 // Puts off small changes, and tells those put off earlier.
 void roster_hub::MarkHeard(peer* node, time_point now) {
   node->heard = now;
--- a/src/roster/roster_member.cc
+++ b/src/roster/roster_member.cc
@@ -230,6 +230,7 @@
   own_ = next;
   own_made_ = now;
   if (!urgent) return out;
+  unannounced_ = now;
   for (auto& [where, link] : links_) {
     link.repeats = kRepeats + 1;
     link.awaited = link.number + 1;
@@ -309,14 +310,14 @@
     const std::optional<roster_update> update = DecodeUpdate(bytes, nullptr);
     const auto link = links_.find(from);
     if (!update) {
-      ++malformed_;
+      ++counters_.malformed;
     } else if (link != links_.end()) {
       OnUpdate(&link->second, *update, now, &out);
     }
   } else if (kind == roster_kind::kPart) {
     OnPart(from, bytes, now, &out);
   } else {
-    ++malformed_;
+    ++counters_.malformed;
   }
   FollowControls(now, &out);
   Reconsider(now, &out);
@@ -356,7 +357,11 @@
   link->heard_run = std::max(link->heard_run, Run(sent));
   link->unanswered = 0;
   link->settled |= update.settled;
-  if (!update.unproven && update.echo >= link->awaited) link->repeats = 0;
+  if (!update.unproven && update.echo >= link->awaited) {
+    link->repeats = 0;
+    if (unannounced_) counters_.announced.Add(now - *unannounced_);
+    unannounced_.reset();
+  }
   const bool is_regained = !link->answers;
   if (is_regained) {
     link->answers = true;
@@ -369,7 +374,7 @@
   const bool is_behind = update.from > link->position;
   if (!is_behind && update.to > link->position) {
     if (!ApplyEntries(link, update, now, out)) {
-      ++malformed_;
+      ++counters_.malformed;
       return;
     }
     link->position = update.to;
@@ -393,6 +398,7 @@
     link->set_version = update.documents.version;
     link->set_size = update.documents.size;
     link->set_hash = update.documents.hash;
+    if (link->set_version > set_.version && !told_of_set_) told_of_set_ = now;
     Fetch(now, out);
   } else if (is_regained) {
     Fetch(now, out);
@@ -590,7 +596,7 @@
                            time_point now, actions* out) {
   const std::optional<set_part> part = DecodePart(bytes, nullptr);
   if (!part) {
-    ++malformed_;
+    ++counters_.malformed;
     return;
   }
   if (links_.find(from) == links_.end()) return;
@@ -600,12 +606,14 @@
   if (!complete) return;
   std::optional<document_set> set = DecodeDocumentSet(*complete);
   if (!set || set->version != fetcher_->head().version) {
-    ++malformed_;
+    ++counters_.malformed;
     fetcher_->Reject(now);
     return;
   }
   assert(set->version > set_.version);
   set_ = std::move(*set);
+  if (told_of_set_) counters_.fetched.Add(now - *told_of_set_);
+  told_of_set_.reset();
   out->push_back(set_received{set_});
   for (const auto& [where, link] : links_) ConfirmFrom(link, now, out);
   Fetch(now, out);
@@ -619,6 +627,15 @@
   });
 }
 
+std::size_t roster_member::hubs_in_touch(time_point now) const {
+  const auto count =
+      std::count_if(links_.begin(), links_.end(), [&](const auto& each) {
+        const hub_link& link = each.second;
+        return link.is_whole && link.heard + Silence(link) > now;
+      });
+  return static_cast<std::size_t>(count);
+}
+
 void roster_member::Report(event_id id, const node_record& record,
                            const std::string& detail, actions* out) const {
   event what;
--- a/src/steering/segment_owner.cc
+++ b/src/steering/segment_owner.cc
@@ -127,6 +127,7 @@
     return;
   }
   if (flow->phase == flow_phase::kClaimed) TellOwner(header, flow, actions);
+  if (header.visit_count > 0) counters_.search_visits.Add(header.visit_count);
   Deliver(header, what, flow, now, actions);
 }
 
@@ -198,6 +199,7 @@
     return;
   }
   ++counters_.taken;
+  counters_.opening_visits.Add(header.visit_count);
   Deliver(header, what, flow, now, actions);
 }
 
@@ -235,6 +237,8 @@
     Discard(result_code::kOtherTargetChosen, actions);
     return;
   }
+  if (flow != nullptr && what.tcp.syn && !flow->answered)
+    counters_.first_answer.Add(now - flow->opened);
   if (flow == nullptr && !what.tcp.rst) {
     flow = flows_->Add(what.key, hash, now);
     if (flow == nullptr) blind_until_ = now + settings_.max_flow_age;
@@ -426,6 +430,7 @@
                              ? what.copy == 0 && targets_->AllSettled(now)
                              : !what.tcp.rst;
   const bool resets = may_reset && IsNowhereOpen(header);
+  if (!what.opens()) counters_.failed_search_visits.Add(header.visit_count);
   if (!what.opens()) {
     TellNotHere(steering_kind::kUnknown, header, actions);
   } else if (resets) {
@@ -544,10 +549,8 @@
   what.flow = flow;
   what.peer = peer;
   what.code = code;
-  what.detail = fmt::format(
-      "caller {}, address {}, {}",
-      ToString(endpoint{key.source, key.source_port}),
-      ToString(endpoint{key.destination, key.destination_port}), detail);
+  what.key = key;
+  what.detail = detail;
   listener_->OnEvent(what);
 }
 
