--- a/src/timeline/flow_story.cc
+++ b/src/timeline/flow_story.cc
@@ -14,6 +14,8 @@
 constexpr duration kAround = std::chrono::seconds(2);
 // A change of the set just before the placement may explain it.
 constexpr duration kSetBefore = std::chrono::seconds(30);
+// Processes that start within this of each other were hit by one fault.
+constexpr duration kTogether = std::chrono::seconds(1);
 
 bool IsFlowEvent(const event& what) {
   return what.id >= event_id::kFlowOpened &&
@@ -223,12 +225,42 @@
                            what.id == event_id::kProcessStarted ||
                            (IsFlowEvent(what) && !what.flow);
       if (!is_loss || entry.wall < start()) continue;
+      if (what.id == event_id::kProcessStarted) {
+        lines->push_back(TellStart(entry));
+        continue;
+      }
       lines->push_back(fmt::format("{} by {} at {}: {}", ToString(what.id),
                                    entry.process, TellTime(entry.wall),
                                    what.detail));
     }
   }
 
+  // Whether the process had stopped before it started again, and whether it was
+  // alone in that.
+  std::string TellStart(const log_entry& started) const {
+    bool has_stopped = false;
+    std::set<std::string> others;
+    for (const log_entry& entry : entries_) {
+      const bool is_own = entry.process == started.process;
+      if (is_own && entry.wall < started.wall) {
+        if (entry.what.id == event_id::kProcessStarted) has_stopped = false;
+        if (entry.what.id == event_id::kProcessStopped) has_stopped = true;
+      }
+      const duration apart = entry.wall > started.wall
+                                 ? entry.wall - started.wall
+                                 : started.wall - entry.wall;
+      if (!is_own && entry.what.id == event_id::kProcessStarted &&
+          apart <= kTogether)
+        others.insert(entry.process);
+    }
+    return fmt::format(
+        "{} started again at {}, {}; {} other processes started within {} ms",
+        started.process, TellTime(started.wall),
+        has_stopped ? "after a stop"
+                    : "without having stopped: killed, or its VM lost power",
+        others.size(), kTogether / std::chrono::milliseconds(1));
+  }
+
   // Whether the opening was placed by a version that others had replaced.
   void AddVersion(std::vector<std::string>* lines) const {
     const log_entry* placed = First(event_id::kOpeningPlaced);
--- a/tests/timeline/explain_test.cc
+++ b/tests/timeline/explain_test.cc
@@ -164,6 +164,22 @@
                   result_code::kSearchEnded, "2 visits, 2 possible owners"));
 }
 
+// An open flow whose daemon was killed, and another with it; a third was
+// stopped and started as planned.
+fleet KilledOwner() {
+  return fleet()
+      .See("desk-2", -9000, What(event_id::kProcessStarted))
+      .See("balancer-1", 0, Placed("10.1.0.11:7720", 6))
+      .See("desk-1", 6, OfFlow(event_id::kFlowClaimed, "10.1.0.5:7710"))
+      .See("balancer-2", 900, What(event_id::kProcessStopped))
+      .See("balancer-2", 1900, What(event_id::kProcessStarted))
+      .See("desk-1", 4120, What(event_id::kProcessStarted))
+      .See("desk-2", 4300, What(event_id::kProcessStarted))
+      .See("desk-2", 4800,
+           OfFlow(event_id::kSegmentReset, "10.1.0.6:7710",
+                  result_code::kSearchEnded, "2 visits, 2 possible owners"));
+}
+
 // An opening placed between a set's acceptance and its coming into force.
 fleet ServedByTheVersionBefore() {
   return fleet()
@@ -211,6 +227,7 @@
   const std::vector<golden_row> rows{
       {"reset_opening", ResetOpening(), 0},
       {"cut_answer", CutAnswer(), 0},
+      {"killed_owner", KilledOwner(), 0},
       {"version_before", ServedByTheVersionBefore(), 0},
       {"missing_lines", MissingLines(), 0},
       {"set_in_force", Sets(), 7},
