Tell of an opening that goes to a target daemon only to be refused

Cause: a balancer without a usable target hands the first copy of an opening to a target daemon, which may refuse it, but wrote no line.

Change: opening_placed with the code no_target and the number of possible owners. One line for each first copy. Test: the table of chooses_openings_by_what_targets_say demands the line for each opening that is sent.

--- a/include/tamaracklatch/steering/segment_router.h
+++ b/include/tamaracklatch/steering/segment_router.h
@@ -122,6 +122,8 @@
                                  std::uint64_t flow, time_point now);
   steering_decision RouteOther(const route& by, const segment& what,
                                std::uint64_t flow, time_point now);
+  event TellPlaced(const route& by, std::size_t share, const segment& what,
+                   std::uint64_t flow, std::uint32_t target) const;
   bool RankUsable(std::uint64_t flow, std::uint32_t service);
   std::uint32_t ChooseTarget(std::uint32_t copy, std::uint64_t flow,
                              time_point now);
--- a/src/steering/segment_router.cc
+++ b/src/steering/segment_router.cc
@@ -232,14 +232,7 @@
     ++counters_.openings;
     if (listener_ != nullptr) {
       const directory_target& to = targets_->At(target);
-      event placed;
-      placed.id = event_id::kOpeningPlaced;
-      placed.service = each.service;
-      placed.flow = flow;
-      placed.peer = ToString(to.where);
-      placed.key = what.key;
-      placed.route = by.name;
-      placed.version = set_version_;
+      event placed = TellPlaced(by, share, what, flow, target);
       placed.inputs = {
           {"copy", std::int64_t{what.copy}},
           {"load_256ths", std::int64_t{to.load}},
@@ -256,7 +249,29 @@
   const owner_search& search = targets_->ListOwners(header, now);
   if (what.copy > 0 || search.alive.empty())
     return Drop(result_code::kNoTarget);
-  return Forward(search.alive.front(), header);
+  const target_index first = search.alive.front();
+  if (listener_ != nullptr) {
+    event placed = TellPlaced(by, chosen, what, flow, first);
+    placed.code = result_code::kNoTarget;
+    placed.inputs = {
+        {"possible_owners", static_cast<std::int64_t>(search.size())}};
+    listener_->OnEvent(placed);
+  }
+  return Forward(first, header);
+}
+
+event segment_router::TellPlaced(const route& by, std::size_t share,
+                                 const segment& what, std::uint64_t flow,
+                                 std::uint32_t target) const {
+  event placed;
+  placed.id = event_id::kOpeningPlaced;
+  placed.service = by.shares[share].service;
+  placed.flow = flow;
+  placed.peer = ToString(targets_->At(target).where);
+  placed.key = what.key;
+  placed.route = by.name;
+  placed.version = set_version_;
+  return placed;
 }
 
 // Ranks the targets that an opening may go to; false where there are none.
--- a/tests/steering/segment_router_test.cc
+++ b/tests/steering/segment_router_test.cc
@@ -21,13 +21,18 @@
 
 constexpr std::uint32_t kTargets = 6;
 
+struct heard_events : event_listener {
+  void OnEvent(const event& what) override { events.push_back(what); }
+  std::vector<event> events;
+};
+
 // A router whose view is long confirmed, with targets 1 to 6 of one service.
 struct lone_router {
   explicit lone_router(std::vector<service_share> shares = {{"web", 1}}) {
     segment_router_settings settings;
     settings.self = test::BalancerAt(1);
     settings.zone = "a";
-    router = std::make_unique<segment_router>(settings);
+    router = std::make_unique<segment_router>(settings, &heard);
     router->SetRoutes(test::SetOf(1, std::move(shares)), kStart);
     router->SetConfirmed(true);
     for (std::uint32_t number = 1; number <= kTargets; ++number)
@@ -56,6 +61,7 @@
     return hint;
   }
 
+  heard_events heard;
   std::unique_ptr<segment_router> router;
   time_point now = kStart;
 };
@@ -172,6 +178,17 @@
       const bool sent = copy == 0 ? each.first : each.later;
       cr_assert((To(decision) != endpoint()) == sent, "%s", each.name);
       cr_assert((WhyDropped(decision) == result_code::kNoTarget) == !sent);
+      // Each opening that went to a target daemon has a line that says so.
+      cr_assert(alone.heard.events.size() == (sent ? 1 : 0), "%s", each.name);
+      for (const event& placed : alone.heard.events) {
+        cr_expect(placed.id == event_id::kOpeningPlaced);
+        cr_expect(placed.peer == ToString(To(decision)));
+        cr_expect(placed.key == FlowOf(1));
+        cr_expect(placed.route == "r-0" && placed.version == 1);
+        cr_expect((placed.code == result_code::kNoTarget) ==
+                  (each.condition != kReady));
+      }
+      alone.heard.events.clear();
     }
   }
 }
