Let lines of information wait for a timer that fires anyway

Cause: each turn of the event loop that wrote a line ended in a write of its own.

Ruled out: a timer of its own (a wake-up costs as much as the write); leaving lines out.

--- a/src/daemon/event_log.cc
+++ b/src/daemon/event_log.cc
@@ -91,7 +91,8 @@
 };
 
 event_log::event_log(const event_log_settings& settings, metrics* counts,
-                     std::function<log_time()> now, std::function<void()> wake)
+                     std::function<log_time()> now,
+                     std::function<void(log_level)> wake)
     : settings_(settings),
       counts_(counts),
       now_(std::move(now)),
@@ -125,9 +126,9 @@
       budget_.CountDropped(what.id);
       ++left_out_[what.id];
     }
-    if (!awake_ && wake_) {
-      awake_ = true;
-      wake_();
+    if (wake_ && (!awake_ || level > *awake_)) {
+      awake_ = level;
+      wake_(level);
     }
   }
   if (next_ != nullptr) next_->OnEvent(what);
@@ -172,7 +173,7 @@
 }
 
 bool event_log::Flush() {
-  awake_ = false;
+  awake_.reset();
   log_output& output = plumbing_->appender_line().output();
   output.Flush();
   if (!budget_.dropped().empty()) {
--- a/src/daemon/event_log.h
+++ b/src/daemon/event_log.h
@@ -30,14 +30,15 @@
 // The listener that daemons pass to their state machines.
 //
 //   event_log log(settings, &metrics, now, wake);
-//   log.OnEvent(what);        // wake() is called when Flush() should follow
+//   log.OnEvent(what);   // wake(level) is called when Flush() should follow
 //   log.Flush();              // soon, and again later while it returns false
 class event_log : public event_listener {
  public:
   // `counts` must outlive the log. `now` reads both clocks. `wake` may be
-  // empty.
+  // empty; it is given the level of the line that waits, and called again where
+  // one of a higher level comes.
   event_log(const event_log_settings& settings, metrics* counts,
-            std::function<log_time()> now, std::function<void()> wake);
+            std::function<log_time()> now, std::function<void(log_level)> wake);
   ~event_log() override;
 
   // Hears every event too; may be null, must outlive the log.
@@ -64,7 +65,7 @@
   event_log_settings settings_;
   metrics* counts_;
   std::function<log_time()> now_;
-  std::function<void()> wake_;
+  std::function<void(log_level)> wake_;
   event_listener* next_ = nullptr;
   log_budget budget_;
   // Since the start: events, those with a code, lines left out.
@@ -74,7 +75,8 @@
   log_line_writer writer_;
   std::unique_ptr<plumbing> plumbing_;
   std::optional<time_point> said_;  // when lines left out were last said
-  bool awake_ = false;  // `wake` was called and Flush() has yet to follow
+  // The highest level that `wake` was given since Flush(); nothing: none was.
+  std::optional<log_level> awake_;
 };
 
 }  // namespace tamaracklatch
--- a/src/daemon/process_frame.cc
+++ b/src/daemon/process_frame.cc
@@ -116,7 +116,15 @@
       [] {
         return log_time{SteadyClock(), WallClock()};
       },
-      [this] { asio::post(loop_, [this] { FlushLog(); }); });
+      [this](log_level level) {
+        // Information waits for a timer that fires anyway: a call to the system
+        // costs more than the line.
+        if (level <= log_level::kInfo && !tickers_.empty()) {
+          log_waits_ = true;
+          return;
+        }
+        asio::post(loop_, [this] { FlushLog(); });
+      });
   log_->SetNext(timeline_.get());
   links_.key = settings.link_key;
   links_.heartbeat_interval = settings.link_heartbeat;
@@ -165,6 +173,7 @@
 void process_frame::OnTickerFired(time_point due) {
   const time_point now = SteadyClock();
   timer_delay_.Add(now - due);
+  if (log_waits_) FlushLog();
   const auto stood = standstill_.OnTimer(due, now, BootClock());
   if (!stood) return;
   event what;
@@ -197,6 +206,7 @@
 }
 
 void process_frame::FlushLog() {
+  log_waits_ = false;
   if (log_->Flush()) return;
   log_timer_.expires_after(kLogRetry);
   log_timer_.async_wait([this](asio::error_code error) {
--- a/src/daemon/process_frame.h
+++ b/src/daemon/process_frame.h
@@ -92,6 +92,7 @@
       timeline_;  // null where the settings name no file
   std::unique_ptr<event_log> log_;
   asio::steady_timer log_timer_;  // tries again while lines wait
+  bool log_waits_ = false;        // lines wait for the next ticker
   link_settings links_;
   std::vector<std::unique_ptr<http_server>> http_;
   std::vector<std::unique_ptr<ticker>> tickers_;
--- a/tests/daemon/event_log_test.cc
+++ b/tests/daemon/event_log_test.cc
@@ -229,7 +229,7 @@
         [this] {
           return log_time{now, wall_time(duration(1))};
         },
-        [this] { ++wakes; });
+        [this](log_level) { ++wakes; });
   }
 
   void See(event_id id) {
@@ -328,6 +328,19 @@
   cr_expect(run.wakes == 2);
 }
 
+Test(event_log, refusal_wakes_though_information_waits) {
+  trial run;
+  event refused;
+  refused.code = result_code::kNoTarget;
+  run.See(event_id::kLinkUp);
+  for (int i = 0; i < 2; ++i) run.log->OnEvent(refused);
+  cr_expect(run.wakes == 2);
+  run.log->Flush();
+  run.log->OnEvent(refused);
+  run.See(event_id::kLinkUp);
+  cr_expect(run.wakes == 3);
+}
+
 Test(event_log, many_lines_are_written_before_the_flush) {
   trial run;
   for (int i = 0; i < 40; ++i) run.See(event_id::kLinkUp);
