--- a/src/steering/segment_router.cc
+++ b/src/steering/segment_router.cc
@@ -2,8 +2,6 @@
 // segments at the owner that a hint named or along the search order.
 #include "tamaracklatch/steering/segment_router.h"
 
-#include <fmt/format.h>
-
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -51,11 +49,6 @@
 // Makes the choice of the service independent of that of the target.
 constexpr std::uint64_t kShareSalt = 0x73686172650a0a0a;
 
-std::string TellCaller(const flow_key& key) {
-  return fmt::format("caller {}",
-                     ToString(endpoint{key.source, key.source_port}));
-}
-
 }  // namespace
 
 std::size_t segment_router::address_hash::operator()(
@@ -259,17 +252,13 @@
     ++counters_.openings;
     if (listener_ != nullptr) {
       const directory_target& to = targets_->At(target);
-      event placed;
-      placed.id = event_id::kOpeningPlaced;
-      placed.service = each.service;
-      placed.flow = flow;
-      placed.peer = ToString(to.where);
-      placed.detail = fmt::format(
-          "{}, route {}, set {}, copy {}, load {}/256 of {} slots, told {} ms "
-          "ago, one of {}",
-          TellCaller(what.key), by.name, set_version_, what.copy, to.load,
-          to.slots, (now - to.changed) / std::chrono::milliseconds(1),
-          ranked_.size());
+      event placed = TellPlaced(by, share, what, flow, target);
+      placed.inputs = {
+          {"copy", std::int64_t{what.copy}},
+          {"load_256ths", std::int64_t{to.load}},
+          {"slots", std::int64_t{to.slots}},
+          {"told_ms_ago", (now - to.changed) / std::chrono::milliseconds(1)},
+          {"ranked", static_cast<std::int64_t>(ranked_.size())}};
       listener_->OnEvent(placed);
     }
     sent_[target] = {SentOpenings(target, now) + 1.0, now};
@@ -280,7 +269,29 @@
   const owner_search& search = targets_->ListOwners(header, now);
   if (what.copy > 0 || search.alive.empty())
     return Drop(result_code::kNoTarget);
-  return Forward(search.alive.front(), header);
+  const target_index first = search.alive.front();
+  if (listener_ != nullptr) {
+    event placed = TellPlaced(by, chosen, what, flow, first);
+    placed.code = result_code::kNoTarget;
+    placed.inputs = {
+        {"possible_owners", static_cast<std::int64_t>(search.size())}};
+    listener_->OnEvent(placed);
+  }
+  return Forward(first, header);
+}
+
+event segment_router::TellPlaced(const route& by, std::size_t share,
+                                 const segment& what, std::uint64_t flow,
+                                 std::uint32_t target) const {
+  event placed;
+  placed.id = event_id::kOpeningPlaced;
+  placed.service = by.shares[share].service;
+  placed.flow = flow;
+  placed.peer = ToString(targets_->At(target).where);
+  placed.key = what.key;
+  placed.route = by.name;
+  placed.version = set_version_;
+  return placed;
 }
 
 // Ranks the targets that an opening may go to; false where there are none.
@@ -405,10 +416,8 @@
     reset.id = event_id::kSegmentReset;
     reset.flow = flow;
     reset.code = why;
-    reset.detail = fmt::format(
-        "{}, address {}, set {}", TellCaller(what.key),
-        ToString(endpoint{what.key.destination, what.key.destination_port}),
-        set_version_);
+    reset.key = what.key;
+    reset.version = set_version_;
     listener_->OnEvent(reset);
   }
   return refuse_segment{why};
--- a/tests/daemon/event_log_test.cc
+++ b/tests/daemon/event_log_test.cc
@@ -229,7 +229,7 @@
         [this] {
           return log_time{now, wall_time(duration(1))};
         },
-        [this] { ++wakes; });
+        [this](log_level) { ++wakes; });
   }
 
   void See(event_id id) {
@@ -294,6 +294,28 @@
   });
 }
 
+Test(event_log, counts_are_in_the_metrics_once) {
+  trial run({1, 2});
+  for (int i = 0; i < 5; ++i) run.See(event_id::kLinkUp);
+  event refused;
+  refused.id = event_id::kFlowRefused;
+  refused.code = result_code::kNoTarget;
+  run.log->OnEvent(refused);
+  for (int scrapes = 0; scrapes < 2; ++scrapes) {
+    run.log->Export();
+    const std::string text = run.counts.Text();
+    const std::string labels = "{process=\"p\",zone=\"z\",";
+    const std::vector<std::string> rows{
+        "tamaracklatch_events_total" + labels + "kind=\"link_up\"} 5",
+        "tamaracklatch_events_total" + labels + "kind=\"flow_refused\"} 1",
+        "tamaracklatch_event_codes_total" + labels + "code=\"no_target\"} 1",
+        "tamaracklatch_log_lines_dropped_total" + labels +
+            "kind=\"link_up\"} 3"};
+    for (const std::string& row : rows)
+      cr_expect(text.find(row) != std::string::npos, "%s", row.c_str());
+  }
+}
+
 Test(event_log, wakes_once_until_flushed) {
   trial run;
   for (int i = 0; i < 3; ++i) run.See(event_id::kLinkUp);
@@ -306,6 +328,19 @@
   cr_expect(run.wakes == 2);
 }
 
+Test(event_log, refusal_wakes_though_information_waits) {
+  trial run;
+  event refused;
+  refused.code = result_code::kNoTarget;
+  run.See(event_id::kLinkUp);
+  for (int i = 0; i < 2; ++i) run.log->OnEvent(refused);
+  cr_expect(run.wakes == 2);
+  run.log->Flush();
+  run.log->OnEvent(refused);
+  run.See(event_id::kLinkUp);
+  cr_expect(run.wakes == 3);
+}
+
 Test(event_log, many_lines_are_written_before_the_flush) {
   trial run;
   for (int i = 0; i < 40; ++i) run.See(event_id::kLinkUp);
