Send members what changed between two document sets

Cause: hubs sent the whole set to every balancer at each change; at the target size that alone passes 8 KB a second for control. Ruled out: old sets kept at hubs (memory of each set for each version held), and a difference of raw bytes (a service added moves the place that each share names). Hubs keep the steps between the sets that they held, at most as many bytes as the newest set; a member names version and hash of what it holds. The result has to have size and hash of the newest set, else the whole set is fetched.

--- a/include/tamaracklatch/roster/roster_hub.h
+++ b/include/tamaracklatch/roster/roster_hub.h
@@ -1,6 +1,7 @@
 // The roster at a control VM: hears the announcements of all nodes, tells each
-// what changed since what it knows, and gives out the document set in parts.
-// Soft state: a hub that starts is told again by the announcements.
+// what changed since what it knows, and gives out the document set, or what
+// changed in it, in parts. Soft state: a hub that starts is told again by the
+// announcements.
 //
 //   roster_hub hub(settings, seed, now);
 //   for (auto& send : hub.OnMessage(from, bytes, now)) Send(send);
@@ -18,6 +19,7 @@
 #include <cstdint>
 #include <list>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -30,6 +32,8 @@
 
 namespace tamaracklatch {
 
+class set_history;
+
 struct roster_hub_settings {
   // A node that has not announced itself for this long is silent.
   duration silence = std::chrono::milliseconds(1100);
@@ -54,6 +58,9 @@
   // earlier life mean nothing.
   roster_hub(const roster_hub_settings& settings, std::uint64_t instance,
              time_point now, event_listener* listener = nullptr);
+  ~roster_hub();
+  roster_hub(roster_hub&&) noexcept;
+  roster_hub& operator=(roster_hub&&) noexcept;
 
   sends OnTick(time_point now);
   time_point next_wake() const;
@@ -97,12 +104,6 @@
   };
   using chunk_cache = std::map<std::uint64_t, std::vector<chunk>>;
 
-  struct documents {
-    std::uint64_t version = 0;
-    std::uint64_t hash = 0;
-    std::string bytes;
-  };
-
   struct confirmation {
     std::uint64_t version = 0;
     time_point asked;
@@ -150,7 +151,7 @@
   std::uint64_t forgotten_ = 0;  // highest position of a forgotten entry
   std::size_t alive_ = 0;
   std::optional<time_point> push_at_;
-  documents documents_;
+  std::unique_ptr<set_history> documents_;
   std::optional<confirmation> confirmed_;
   std::uint64_t malformed_ = 0;
   std::map<endpoint, roster_entry> entries_;
--- a/src/control/document_set.cc
+++ b/src/control/document_set.cc
@@ -4,24 +4,14 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <cassert>
 #include <map>
 
+#include "control/set_route_codec.h"
 #include "tamaracklatch/transport/wire.h"
 
 namespace tamaracklatch {
 namespace {
 
-// Each share names its service by its place in the set's list.
-using service_places = std::map<std::string, std::size_t>;
-
-service_places PlacesOf(const std::vector<std::string>& services) {
-  service_places places;
-  for (std::size_t i = 0; i < services.size(); ++i)
-    places.emplace(services[i], i);
-  return places;
-}
-
 // Collects the faults of one set.
 class set_checker {
  public:
@@ -65,29 +55,6 @@
   std::map<endpoint, std::size_t> routes_;  // by their addresses
 };
 
-set_route ReadRoute(wire_reader* reader,
-                    const std::vector<std::string>& services) {
-  set_route route;
-  reader->Array();
-  route.name = reader->Text();
-  reader->Read(&route.where);
-  const std::size_t shares = reader->Array();
-  for (std::size_t i = 0; i < shares && reader->ok(); ++i) {
-    reader->Array();
-    const std::uint64_t place = reader->Number();
-    const std::uint64_t weight = reader->NumberUpTo(UINT32_MAX);
-    reader->Leave();
-    // An unknown place gives a service that the check refuses.
-    route.shares.push_back(
-        {place < services.size() ? services[place] : std::string(),
-         static_cast<std::uint32_t>(weight)});
-    if (place >= services.size()) reader->NumberUpTo(0);
-  }
-  reader->Leave();
-  reader->Leave();
-  return route;
-}
-
 }  // namespace
 
 bool CheckDocumentSet(const document_set& set, std::vector<failure>* failures) {
@@ -112,19 +79,7 @@
   writer.Array(set.services.size());
   for (const std::string& service : set.services) writer.Text(service);
   writer.Array(set.routes.size());
-  for (const set_route& route : set.routes) {
-    writer.Array(3);
-    writer.Text(route.name);
-    writer.Write(route.where);
-    writer.Array(route.shares.size());
-    for (const service_share& share : route.shares) {
-      const auto place = places.find(share.service);
-      assert(place != places.end());
-      writer.Array(2);
-      writer.Number(place->second);
-      writer.Number(share.weight);
-    }
-  }
+  for (const set_route& route : set.routes) WriteRoute(route, places, &writer);
   return std::string(writer.bytes());
 }
 
@@ -143,8 +98,10 @@
     set.services.push_back(reader.Text());
   reader.Leave();
   const std::size_t routes = reader.Array();
-  for (std::size_t i = 0; i < routes && reader.ok(); ++i)
-    set.routes.push_back(ReadRoute(&reader, set.services));
+  for (std::size_t i = 0; i < routes && reader.ok(); ++i) {
+    reader.Array();
+    set.routes.push_back(ReadRoute(set.services, &reader));
+  }
   reader.Leave();
   reader.Leave();
   std::vector<failure> failures;
--- /dev/null
+++ b/src/control/set_delta.cc
@@ -0,0 +1,185 @@
+// Differences between document sets, as runs of kept elements and added ones.
+#include "tamaracklatch/control/set_delta.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "control/set_route_codec.h"
+#include "tamaracklatch/transport/wire.h"
+
+namespace tamaracklatch {
+namespace {
+
+constexpr std::size_t kRunElements = 2;      // of a run's array: first, count
+constexpr std::size_t kServiceElements = 1;  // of an added service's array
+// Of a route in a set, bytes.
+constexpr std::size_t kLeastRouteBytes = 8;
+constexpr std::size_t kMaxServices = kMaxEncodedSetBytes;
+constexpr std::size_t kMaxRoutes = kMaxEncodedSetBytes / kLeastRouteBytes;
+
+const std::string& KeyOf(const std::string& service) { return service; }
+const endpoint& KeyOf(const set_route& route) { return route.where; }
+
+// Elements of the base from `first`, or one that is added.
+struct list_step {
+  std::size_t first = 0;
+  std::size_t count = 0;  // 0: added
+  std::size_t added = 0;  // its place in the later list
+};
+
+template <typename Element>
+std::vector<list_step> StepsBetween(const std::vector<Element>& base,
+                                    const std::vector<Element>& next) {
+  using key = std::decay_t<decltype(KeyOf(next.front()))>;
+  std::map<key, std::size_t> places;
+  for (std::size_t i = 0; i < base.size(); ++i)
+    places.emplace(KeyOf(base[i]), i);
+  std::vector<list_step> steps;
+  for (std::size_t i = 0; i < next.size(); ++i) {
+    const auto found = places.find(KeyOf(next[i]));
+    if (found == places.end() || !(base[found->second] == next[i])) {
+      steps.push_back({0, 0, i});
+    } else if (!steps.empty() && steps.back().count > 0 &&
+               steps.back().first + steps.back().count == found->second) {
+      ++steps.back().count;
+    } else {
+      steps.push_back({found->second, 1, 0});
+    }
+  }
+  return steps;
+}
+
+void WriteRun(const list_step& step, wire_writer* writer) {
+  writer->Array(kRunElements);
+  writer->Number(step.first);
+  writer->Number(step.count);
+}
+
+// Reads a run of `base` and leaves its array; false where it does not fit.
+template <typename Element>
+bool ReadRun(const std::vector<Element>& base, std::size_t most,
+             wire_reader* reader, std::vector<Element>* list) {
+  const std::uint64_t first = reader->Number();
+  const std::uint64_t count = reader->Number();
+  reader->Leave();
+  if (!reader->ok() || first > base.size() || count > base.size() - first ||
+      list->size() + count > most)
+    return false;
+  const auto begin = base.begin() + static_cast<std::ptrdiff_t>(first);
+  list->insert(list->end(), begin, begin + static_cast<std::ptrdiff_t>(count));
+  return true;
+}
+
+wire_limits DeltaLimits() {
+  wire_limits limits;
+  limits.max_bytes = kMaxEncodedSetBytes;
+  limits.max_elements = kMaxEncodedSetBytes;
+  limits.max_text = kMaxEncodedSetBytes;
+  return limits;
+}
+
+std::optional<document_set> Apply(const document_set& base,
+                                  std::string_view delta) {
+  wire_reader reader(delta, DeltaLimits());
+  document_set next;
+  reader.Array();
+  next.version = reader.Number();
+  reader.Read(&next.idle_timeout);
+  const std::size_t services = reader.Array();
+  for (std::size_t i = 0; i < services && reader.ok(); ++i) {
+    if (reader.Array() == kRunElements) {
+      if (!ReadRun(base.services, kMaxServices, &reader, &next.services))
+        return std::nullopt;
+    } else {
+      next.services.push_back(reader.Text());
+      reader.Leave();
+    }
+  }
+  reader.Leave();
+  const std::size_t routes = reader.Array();
+  for (std::size_t i = 0; i < routes && reader.ok(); ++i) {
+    if (reader.Array() == kRunElements) {
+      if (!ReadRun(base.routes, kMaxRoutes, &reader, &next.routes))
+        return std::nullopt;
+    } else {
+      next.routes.push_back(ReadRoute(next.services, &reader));
+    }
+  }
+  reader.Leave();
+  reader.Leave();
+  if (!reader.ok()) return std::nullopt;
+  return next;
+}
+
+// Whether each share names one of the services; a kept route may name one that
+// the later set lacks.
+bool HasItsServices(const document_set& set) {
+  const service_places places = PlacesOf(set.services);
+  return std::all_of(
+      set.routes.begin(), set.routes.end(), [&](const set_route& route) {
+        return std::all_of(route.shares.begin(), route.shares.end(),
+                           [&](const service_share& share) {
+                             return places.count(share.service) != 0;
+                           });
+      });
+}
+
+}  // namespace
+
+std::string EncodeSetDelta(const document_set& base, const document_set& next) {
+  const service_places places = PlacesOf(next.services);
+  wire_writer writer;
+  writer.Array(4);
+  writer.Number(next.version);
+  writer.Write(next.idle_timeout);
+  const auto services = StepsBetween(base.services, next.services);
+  writer.Array(services.size());
+  for (const list_step& step : services) {
+    if (step.count > 0) {
+      WriteRun(step, &writer);
+    } else {
+      writer.Array(kServiceElements);
+      writer.Text(next.services[step.added]);
+    }
+  }
+  const auto routes = StepsBetween(base.routes, next.routes);
+  writer.Array(routes.size());
+  for (const list_step& step : routes) {
+    if (step.count > 0) {
+      WriteRun(step, &writer);
+    } else {
+      WriteRoute(next.routes[step.added], places, &writer);
+    }
+  }
+  return std::string(writer.bytes());
+}
+
+std::string JoinSetDeltas(const std::vector<std::string_view>& deltas) {
+  wire_writer writer;
+  writer.Array(deltas.size());
+  for (const std::string_view delta : deltas) writer.Text(delta);
+  return std::string(writer.bytes());
+}
+
+std::optional<std::string> ApplySetDeltas(const document_set& base,
+                                          std::string_view joined) {
+  wire_reader reader(joined, DeltaLimits());
+  const std::size_t count = reader.Array();
+  if (count == 0) return std::nullopt;
+  std::optional<document_set> set;
+  for (std::size_t i = 0; i < count && reader.ok(); ++i) {
+    const std::string delta = reader.Text();
+    if (!reader.ok()) break;
+    set = Apply(set ? *set : base, delta);
+    if (!set) return std::nullopt;
+  }
+  reader.Leave();
+  if (!reader.ok() || !HasItsServices(*set)) return std::nullopt;
+  return EncodeDocumentSet(*set);
+}
+
+}  // namespace tamaracklatch
--- a/src/roster/roster_hub.cc
+++ b/src/roster/roster_hub.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "roster/roster_messages.h"
+#include "roster/set_history.h"
 #include "tamaracklatch/core/hash.h"
 
 namespace tamaracklatch {
@@ -54,13 +55,17 @@
       started_(now),
       called_(now),
       tick_(now),
-
       interval_(kShortestInterval),
-      held_interval_(kShortestInterval) {
+      held_interval_(kShortestInterval),
+      documents_(std::make_unique<set_history>()) {
   assert(instance != 0);
   assert(settings.silence > duration(0));
 }
 
+roster_hub::~roster_hub() = default;
+roster_hub::roster_hub(roster_hub&&) noexcept = default;
+roster_hub& roster_hub::operator=(roster_hub&&) noexcept = default;
+
 duration roster_hub::silence() const {
   return std::max(settings_.silence, held_interval_ > kShortestInterval
                                          ? Silence(held_interval_)
@@ -368,8 +373,7 @@
       now - started_ >= settings_.settling + (silence() - settings_.silence);
   update.unproven = most == 0;
   update.superseded = superseded;
-  update.documents = {documents_.version, documents_.bytes.size(),
-                      documents_.hash};
+  update.documents = documents_->head();
   if (confirmed_)
     update.confirmed =
         set_confirmation{confirmed_->version, now - confirmed_->asked};
@@ -394,24 +398,27 @@
     ++malformed_;
     return;
   }
-  if (message->version != documents_.version ||
-      message->offset >= documents_.bytes.size())
-    return;
+  if (message->version != documents_->head().version) return;
+  const std::string delta =
+      message->base == 0
+          ? std::string()
+          : documents_->DeltaFrom(message->base, message->base_hash);
+  const std::string_view whole =
+      delta.empty() ? documents_->bytes() : std::string_view(delta);
+  if (message->offset >= whole.size()) return;
   set_part part;
-  part.version = documents_.version;
-  part.size = documents_.bytes.size();
+  part.version = message->version;
+  part.size = whole.size();
   part.offset = message->offset;
-  part.bytes = documents_.bytes.substr(message->offset, kMaxSetPart);
+  part.bytes = std::string(whole.substr(message->offset, kMaxSetPart));
+  part.base = delta.empty() ? 0 : message->base;
   out->push_back({from, Encode(part)});
 }
 
 void roster_hub::SetDocuments(std::uint64_t version, std::string bytes,
                               time_point now) {
-  assert(bytes.size() <= kMaxSetBytes);
-  if (version <= documents_.version) return;
-  documents_.version = version;
-  documents_.hash = HashBytes(bytes.data(), bytes.size());
-  documents_.bytes = std::move(bytes);
+  if (version <= documents_->head().version) return;
+  documents_->Add(version, std::move(bytes));
   if (!push_at_)
     push_at_ =
         now + std::max(settings_.push_delay,
--- a/src/roster/roster_member.cc
+++ b/src/roster/roster_member.cc
@@ -595,7 +595,7 @@
   }
   if (links_.find(from) == links_.end()) return;
   std::optional<std::string> complete;
-  for (roster_send& send : fetcher_->OnPart(*part, now, &complete))
+  for (roster_send& send : fetcher_->OnPart(*part, set_, now, &complete))
     out->emplace_back(std::move(send));
   if (!complete) return;
   std::optional<document_set> set = DecodeDocumentSet(*complete);
--- a/src/roster/roster_messages.cc
+++ b/src/roster/roster_messages.cc
@@ -267,9 +267,11 @@
 
 std::string Encode(const set_fetch& message) {
   wire_writer writer;
-  writer.Array(2);
+  writer.Array(4);
   writer.Number(message.version);
   writer.Number(message.offset);
+  writer.Number(message.base);
+  writer.Number(message.base_hash);
   return Framed(roster_kind::kFetch, writer);
 }
 
@@ -279,9 +281,13 @@
     return Malformed("fetch", last_failure);
   wire_reader reader(Body(bytes), MessageLimits());
   set_fetch message;
-  reader.Array();
+  const std::size_t elements = reader.Array();
   message.version = reader.Number();
   message.offset = reader.NumberUpTo(kMaxSetBytes);
+  if (elements >= 4) {  // else from a sender that knows whole sets only
+    message.base = reader.Number();
+    message.base_hash = reader.Number();
+  }
   reader.Leave();
   if (!reader.ok()) return Malformed("fetch", last_failure);
   return message;
@@ -289,11 +295,12 @@
 
 std::string Encode(const set_part& message) {
   wire_writer writer;
-  writer.Array(4);
+  writer.Array(5);
   writer.Number(message.version);
   writer.Number(message.size);
   writer.Number(message.offset);
   writer.Text(message.bytes);
+  writer.Number(message.base);
   return Framed(roster_kind::kPart, writer);
 }
 
@@ -303,11 +310,12 @@
     return Malformed("part", last_failure);
   wire_reader reader(Body(bytes), MessageLimits());
   set_part message;
-  reader.Array();
+  const std::size_t elements = reader.Array();
   message.version = reader.Number();
   message.size = reader.NumberUpTo(kMaxSetBytes);
   message.offset = reader.NumberUpTo(kMaxSetBytes);
   message.bytes = reader.Text();
+  if (elements >= 5) message.base = reader.Number();
   reader.Leave();
   if (!reader.ok() || message.offset + message.bytes.size() > message.size)
     return Malformed("part", last_failure);
--- a/src/roster/roster_messages.h
+++ b/src/roster/roster_messages.h
@@ -93,16 +93,21 @@
   node_liveness liveness = node_liveness::kAlive;
 };
 
+// Member to hub: asks for a part of a set, or of what leads to it from the set
+// that the member holds.
 struct set_fetch {
   std::uint64_t version = 0;
-  std::uint64_t offset = 0;  // bytes
+  std::uint64_t offset = 0;     // bytes
+  std::uint64_t base = 0;       // version held; 0: the whole set is asked for
+  std::uint64_t base_hash = 0;  // of the set held
 };
 
 struct set_part {
   std::uint64_t version = 0;
-  std::uint64_t size = 0;    // of the whole set, bytes
+  std::uint64_t size = 0;    // of all parts together, bytes
   std::uint64_t offset = 0;  // bytes
   std::string bytes;
+  std::uint64_t base = 0;  // from which the parts lead; 0: the whole set
 };
 
 std::optional<roster_kind> KindOf(std::string_view bytes);
--- a/src/roster/set_fetcher.cc
+++ b/src/roster/set_fetcher.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 
+#include "tamaracklatch/control/set_delta.h"
 #include "tamaracklatch/core/hash.h"
 
 namespace tamaracklatch {
@@ -16,11 +17,14 @@
 }  // namespace
 
 std::size_t set_fetcher::parts() const {
-  return (head_.size + kMaxSetPart - 1) / kMaxSetPart;
+  if (size_ == 0) return 1;
+  return (size_ + kMaxSetPart - 1) / kMaxSetPart;
 }
 
 void set_fetcher::Clear() {
   head_ = set_head();
+  wants_delta_ = false;
+  size_ = 0;
   hubs_.clear();
   hub_ = 0;
   bytes_ = std::string();
@@ -32,6 +36,7 @@
 
 void set_fetcher::Restart(time_point now) {
   bytes_ = std::string();
+  size_ = wants_delta_ ? 0 : head_.size;
   received_.assign(parts(), false);
   missing_ = parts();
   next_part_ = 0;
@@ -61,6 +66,7 @@
   if (!same) {
     Clear();
     head_ = best;
+    wants_delta_ = given_.version != 0 && given_.version == held;
   }
   hubs_.clear();
   for (const set_source& source : sources)
@@ -80,6 +86,10 @@
   set_fetch message;
   message.version = head_.version;
   message.offset = what.part * kMaxSetPart;
+  if (wants_delta_) {
+    message.base = given_.version;
+    message.base_hash = given_.hash;
+  }
   out->push_back({hubs_[hub_], Encode(message)});
 }
 
@@ -104,6 +114,8 @@
   if (change_hub) {
     hub_ = (hub_ + 1) % hubs_.size();
     for (request& each : in_flight_) each.tries = 0;
+    // Hubs that held other sets in between have other deltas.
+    if (wants_delta_) Restart(now);
   }
   for (request& each : in_flight_) {
     if (each.sent + kRetry > now) continue;
@@ -123,18 +135,44 @@
   return wake;
 }
 
-set_fetcher::sends set_fetcher::OnPart(const set_part& part, time_point now,
+bool set_fetcher::Fits(const set_part& part) const {
+  if (head_.version == 0 || part.version != head_.version ||
+      part.offset % kMaxSetPart != 0 || part.offset >= part.size)
+    return false;
+  const bool is_delta = part.base != 0;
+  if (is_delta && (!wants_delta_ || part.base != given_.version)) return false;
+  const bool first = size_ == 0;
+  if (first ? !is_delta && part.size != head_.size
+            : is_delta != wants_delta_ || part.size != size_)
+    return false;
+  return part.bytes.size() ==
+         std::min<std::size_t>(kMaxSetPart, part.size - part.offset);
+}
+
+std::optional<std::string> set_fetcher::Assemble(
+    const document_set& held) const {
+  std::optional<std::string> whole =
+      wants_delta_ ? ApplySetDeltas(held, bytes_) : bytes_;
+  if (!whole || whole->size() != head_.size ||
+      HashBytes(whole->data(), whole->size()) != head_.hash)
+    return std::nullopt;
+  return whole;
+}
+
+set_fetcher::sends set_fetcher::OnPart(const set_part& part,
+                                       const document_set& held, time_point now,
                                        std::optional<std::string>* complete) {
   sends out;
-  if (head_.version == 0 || part.version != head_.version ||
-      part.size != head_.size || part.offset % kMaxSetPart != 0)
-    return out;
+  if (!Fits(part)) return out;
+  if (size_ == 0) {
+    wants_delta_ = part.base != 0;
+    size_ = part.size;
+    received_.assign(parts(), false);
+    missing_ = parts();
+  }
   const std::size_t index = part.offset / kMaxSetPart;
-  if (index >= parts() || received_[index]) return out;
-  if (part.bytes.size() !=
-      std::min<std::size_t>(kMaxSetPart, head_.size - part.offset))
-    return out;
-  bytes_.resize(head_.size);
+  if (received_[index]) return out;
+  bytes_.resize(size_);
   bytes_.replace(part.offset, part.bytes.size(), part.bytes);
   received_[index] = true;
   --missing_;
@@ -146,11 +184,19 @@
     AskMore(now, &out);
     return out;
   }
-  if (HashBytes(bytes_.data(), bytes_.size()) != head_.hash) {
+  std::optional<std::string> whole = Assemble(held);
+  if (!whole && wants_delta_) {
+    wants_delta_ = false;
+    Restart(now);
+    AskMore(now, &out);
+    return out;
+  }
+  if (!whole) {
     Reject(now);
     return out;
   }
-  *complete = std::move(bytes_);
+  *complete = std::move(whole);
+  given_ = head_;
   Restart(now + kRejectedPause);  // unless the set turns out to be of use
   return out;
 }
@@ -158,6 +204,8 @@
 void set_fetcher::Reject(time_point now) {
   if (head_.version == 0) return;
   hub_ = (hub_ + 1) % hubs_.size();
+  wants_delta_ = false;
+  if (given_ == head_) given_ = set_head();
   Restart(now + kRejectedPause);
 }
 
--- a/src/roster/set_fetcher.h
+++ b/src/roster/set_fetcher.h
@@ -1,4 +1,6 @@
-// Fetches one document set in parts from the hubs that hold it.
+// Fetches one document set in parts from the hubs that hold it: what leads to
+// it from the set that the caller holds, where a hub knows that, else the
+// whole.
 #pragma once
 
 #include <cstddef>
@@ -18,21 +20,22 @@
   set_head head;
 };
 
-// Invariant: the parts in flight are all asked of the same source.
+// Invariants: the parts in flight are all asked of the same source; a set is
+// given to the caller only with the size and hash that its head says.
 class set_fetcher {
  public:
   using sends = std::vector<roster_send>;
 
-  // The hubs in touch; the highest set above `held` is fetched, a lower one
-  // given up.
+  // The hubs in touch; the highest set above version `held` is fetched, a lower
+  // one given up.
   sends SetSources(const std::vector<set_source>& sources, std::uint64_t held,
                    time_point now);
   sends OnTick(time_point now);
   time_point next_wake() const;
 
   // A part came: `complete` gets the bytes of the whole set once its hash is
-  // right.
-  sends OnPart(const set_part& part, time_point now,
+  // right. `held` is the caller's set.
+  sends OnPart(const set_part& part, const document_set& held, time_point now,
                std::optional<std::string>* complete);
 
   // The set asked for; its version is 0 while there is none.
@@ -47,13 +50,18 @@
     std::uint32_t tries = 1;
   };
 
-  std::size_t parts() const;
+  std::size_t parts() const;  // of the transfer; 1 while its size is unknown
   void Clear();
   void Restart(time_point now);
   void Ask(const request& what, sends* out) const;
   void AskMore(time_point now, sends* out);
+  bool Fits(const set_part& part) const;
+  std::optional<std::string> Assemble(const document_set& held) const;
 
   set_head head_;
+  set_head given_;  // the last set completed; a base once the caller holds it
+  bool wants_delta_ = false;    // from given_
+  std::size_t size_ = 0;        // of the transfer, bytes; 0: unknown
   std::vector<endpoint> hubs_;  // that hold it
   std::size_t hub_ = 0;         // asked now
   std::string bytes_;
--- a/tests/control/document_sets.h
+++ b/tests/control/document_sets.h
@@ -3,8 +3,10 @@
 
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "tamaracklatch/control/control_command.h"
 #include "tamaracklatch/control/document_set.h"
@@ -27,6 +29,45 @@
   return set;
 }
 
+// A later set that has some of the same content: services and routes are added,
+// taken away, changed and moved.
+inline document_set LaterSet(const document_set& base) {
+  document_set set = base;
+  set.version += *rc::gen::inRange<std::uint64_t>(1, 1000);
+  set.idle_timeout += std::chrono::seconds(*rc::gen::inRange(0, 3));
+  const int edits = *rc::gen::inRange(0, 6);
+  for (int edit = 0; edit < edits; ++edit) {
+    std::vector<set_route>& routes = set.routes;
+    const auto at = *rc::gen::inRange<std::size_t>(0, routes.size() + 1);
+    const auto place = routes.begin() + static_cast<std::ptrdiff_t>(at);
+    const int kind = *rc::gen::inRange(0, 5);
+    if (kind == 0) {
+      const endpoint where{MakeV4(static_cast<std::uint32_t>(set.version)),
+                           static_cast<std::uint16_t>(1 + edit)};
+      routes.insert(place, {"added", where, {{set.services.front(), 1}}});
+    } else if (kind == 1) {
+      set.services.insert(
+          set.services.begin() + *rc::gen::inRange(0, 2),
+          "service-" + std::to_string(set.version) + std::to_string(edit));
+    } else if (place == routes.end()) {
+      continue;
+    } else if (kind == 2) {
+      routes.erase(place);
+    } else if (kind == 3) {
+      place->shares.front().weight += 1;
+    } else {
+      std::rotate(routes.begin(), place, routes.end());
+    }
+  }
+  // Services that no route names may go.
+  if (*rc::gen::arbitrary<bool>()) {
+    for (set_route& route : set.routes)
+      route.shares = {{set.services.back(), 1}};
+    set.services = {set.services.back()};
+  }
+  return set;
+}
+
 // The text that an operator would send for it.
 inline std::string SourceOf(const document_set& set) {
   return "set " + std::to_string(set.version) + ":" +
--- a/tests/roster/roster_messages_test.cc
+++ b/tests/roster/roster_messages_test.cc
@@ -254,8 +254,8 @@
       std::vector<roster_send> next;
       for (const roster_send& sent : flying) {
         if (sent.to == dead || HashPair(++step, size) % 5 == 0) continue;
-        for (roster_send& more :
-             fetcher.OnPart(holder.PartFor(sent), now, &complete))
+        for (roster_send& more : fetcher.OnPart(holder.PartFor(sent),
+                                                document_set(), now, &complete))
           next.push_back(std::move(more));
       }
       if (next.empty() && !complete) {
@@ -279,14 +279,14 @@
   const auto asked = fetcher.SetSources({{hub, holder.head}}, 0, now);
   cr_expect(asked.size() == 3);
   for (const roster_send& sent : asked)
-    fetcher.OnPart(other.PartFor(sent), now, &complete);
+    fetcher.OnPart(other.PartFor(sent), document_set(), now, &complete);
   cr_expect(!complete);
   // Asked for again, after a pause.
   cr_expect(fetcher.next_wake() > now);
   const auto again = fetcher.OnTick(fetcher.next_wake());
   cr_expect(again.size() == 3);
   for (const roster_send& sent : again)
-    fetcher.OnPart(holder.PartFor(sent), now, &complete);
+    fetcher.OnPart(holder.PartFor(sent), document_set(), now, &complete);
   cr_expect(complete == holder.bytes);
 }
 
@@ -302,10 +302,10 @@
   const auto newer = fetcher.SetSources({{hub, high.head}}, 0, now);
   cr_expect(fetcher.head() == high.head);
   for (const roster_send& sent : asked)
-    fetcher.OnPart(low.PartFor(sent), now, &complete);
+    fetcher.OnPart(low.PartFor(sent), document_set(), now, &complete);
   cr_expect(!complete);
   for (const roster_send& sent : newer)
-    fetcher.OnPart(high.PartFor(sent), now, &complete);
+    fetcher.OnPart(high.PartFor(sent), document_set(), now, &complete);
   cr_expect(complete == high.bytes);
   cr_expect(fetcher.SetSources({{hub, high.head}}, 5, now).empty());
   cr_expect(fetcher.next_wake() == time_point::max());
--- a/tests/roster/roster_world.cc
+++ b/tests/roster/roster_world.cc
@@ -166,9 +166,10 @@
 void roster_world::Publish(std::size_t names) {
   document_set set;
   set.version = accepted() + 1 + Draw(3);
+  // Of four names in a row, one or so is new in each set.
   for (std::size_t i = 0; i < names; ++i)
-    set.services.push_back("service-" + std::to_string(set.version) + "-" +
-                           std::to_string(i));
+    set.services.push_back("service-" + std::to_string((set.version + i) / 4) +
+                           "-" + std::to_string(i));
   sets_[set.version] = EncodeDocumentSet(set);
   accepted_.emplace_back(now_, set.version);
   Say("accepted " + std::to_string(set.version));
