Search the first targets of each service before the rest

Cause: a search has room for 24 visits, and asked all 34 targets of the service chosen by today's weights before any of the 9 of the other one. A flow that was opened before the weights changed was never reached by a new balancer; each retransmission began only one target later. Ruled out: hops lost on the way (all 24 visits are in the log), and the release of servers (the owner lived on). Change: openings go to the first of a service's order, so the search takes the services in turn, rank by rank; where a search can't visit all, the next one begins at its last visit. Conclusion: any number of targets is asked within few retransmissions; the usual owner is among the first few asked.

--- a/src/steering/segment_router.cc
+++ b/src/steering/segment_router.cc
@@ -359,10 +359,13 @@
   ++counters_.searched;
   header.possible_owners =
       static_cast<std::uint8_t>(std::min<std::size_t>(search.size(), 255));
+  // Where a search can't visit all, the next one begins at its last visit.
+  const std::size_t stride =
+      search.alive.size() > kMaxSteeringVisits ? kMaxSteeringVisits - 1 : 1;
   const target_index first =
       search.alive.empty()
           ? targets_->NextOwner(header, endpoint(), now)
-          : search.alive[known->searches % search.alive.size()];
+          : search.alive[known->searches * stride % search.alive.size()];
   return Forward(first, header);
 }
 
--- a/src/steering/target_directory.cc
+++ b/src/steering/target_directory.cc
@@ -99,12 +99,19 @@
                                                  time_point now) {
   search_.alive.clear();
   search_.silent.clear();
+  std::size_t longest = 0;
   for (std::size_t at = 0; at < header.service_count; ++at) {
     Rank(
         header.flow, header.services[at], kAll,
         [&](const directory_target& target) { return MayOwn(target, now); },
-        &all_);
-    for (const target_index index : all_) {
+        &of_service_[at]);
+    longest = std::max(longest, of_service_[at].size());
+  }
+  // Openings go to the first of a service, whichever that was then.
+  for (std::size_t rank = 0; rank < longest; ++rank) {
+    for (std::size_t at = 0; at < header.service_count; ++at) {
+      if (rank >= of_service_[at].size()) continue;
+      const target_index index = of_service_[at][rank];
       const bool alive = targets_[index].liveness == node_liveness::kAlive;
       (alive ? search_.alive : search_.silent).push_back(index);
     }
--- a/src/steering/target_directory.h
+++ b/src/steering/target_directory.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <algorithm>
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <unordered_map>
@@ -119,7 +120,8 @@
   std::unordered_map<std::uint32_t, std::vector<target_index>> services_;
   owner_search search_;
   std::vector<ranked_target> ranked_;
-  std::vector<target_index> all_;
+  // Scratch: possible owners of each service of a header, in the flow's order.
+  std::array<std::vector<target_index>, kMaxSteeringServices> of_service_;
 };
 
 template <typename Predicate>
--- a/tests/steering/segment_router_test.cc
+++ b/tests/steering/segment_router_test.cc
@@ -7,6 +7,7 @@
 #include <set>
 
 #include "steering/segments.h"
+#include "steering/target_directory.h"
 #include "support/property.h"
 
 namespace tamaracklatch {
@@ -352,6 +353,33 @@
   cr_assert(asked.size() == kTargets);
 }
 
+// A search visits no more than a header has room for.
+Test(router, asks_all_of_many_targets_within_few_retransmissions) {
+  for (const std::uint32_t count : {25U, 43U, 48U, 60U}) {
+    lone_router alone;
+    std::vector<endpoint> order;
+    for (std::uint32_t number = 1; number <= count; ++number)
+      alone.Update(TargetAt(number, "web"));
+    const auto header = std::get<forward_segment>(alone.Go(9)).header;
+    target_directory directory("a", seconds(60));
+    for (std::uint32_t number = 1; number <= count; ++number)
+      directory.Update(TargetAt(number, "web"), kStart);
+    for (const target_index each : directory.ListOwners(header, kStart).alive)
+      order.push_back(directory.At(each).where);
+    std::set<endpoint> asked;
+    const std::size_t searches = (count + 22) / 23;
+    for (std::size_t search = 0; search < searches; ++search) {
+      const auto first = std::find(order.begin(), order.end(), To(alone.Go(9)));
+      cr_assert(first != order.end());
+      const auto from = static_cast<std::size_t>(first - order.begin());
+      for (std::size_t step = 0; step < kMaxSteeringVisits; ++step)
+        asked.insert(order[(from + step) % order.size()]);
+      alone.now += milliseconds(200);
+    }
+    cr_expect(asked.size() == count, "%zu of %u", asked.size(), count);
+  }
+}
+
 Test(router, confirms_at_once_where_no_target_joined_of_late) {
   struct row {
     milliseconds since_joined;
--- a/tests/steering/target_directory_test.cc
+++ b/tests/steering/target_directory_test.cc
@@ -1,8 +1,10 @@
 // Tests of the order in which the owner of a flow is searched.
 #include "steering/target_directory.h"
 
+#include <algorithm>
 #include <set>
 #include <unordered_map>
+#include <vector>
 
 #include "steering/segments.h"
 #include "support/property.h"
@@ -78,6 +80,31 @@
   }
 }
 
+// Openings go to the first of the service that was chosen then; which one that
+// was, later weights don't tell.
+Test(directory, asks_the_first_of_each_service_before_the_rest) {
+  target_directory directory("a", kMaxFlowAge);
+  for (std::uint32_t number = 0; number < 43; ++number)
+    directory.Update(TargetAt(number, number < 34 ? "web" : "shop"), kStart);
+  constexpr std::size_t kFirst = 4;
+  for (std::uint64_t flow = 1; flow < 50; ++flow) {
+    const owner_search search = directory.ListOwners(HeaderOf(flow), kStart);
+    cr_assert(search.size() == 43);
+    for (const char* service : {"web", "shop"}) {
+      std::vector<target_index> first;
+      directory.Rank(
+          flow, ServiceTag(service), kFirst,
+          [](const directory_target&) { return true; }, &first);
+      for (const target_index each : first) {
+        const auto end = search.alive.begin() + 2 * kFirst;
+        cr_expect(std::find(search.alive.begin(), end, each) != end,
+                  "flow %llu, %s", static_cast<unsigned long long>(flow),
+                  service);
+      }
+    }
+  }
+}
+
 Test(directory, asks_silent_targets_in_turn) {
   target_directory directory("a", kMaxFlowAge);
   for (std::uint32_t number = 0; number < 2; ++number) {
