--- a/tests/distribution/relay_node_test.cc
+++ b/tests/distribution/relay_node_test.cc
@@ -11,6 +11,7 @@
 #include "support/property.h"
 #include "support/virtual_network.h"
 #include "tamaracklatch/distribution/progress_sum.h"
+#include "tamaracklatch/membership/absence_judge.h"
 
 namespace tamaracklatch {
 namespace {
@@ -296,6 +297,56 @@
   });
 }
 
+// How long each node but `cut` was named by no control VM, at the longest,
+// while `cut` hears its children alone.
+duration LongestMissed(distribution_fixture* cluster, const std::string& cut) {
+  std::set<std::string> children;
+  for (const auto& [name, child] : cluster->net.At(cut).node->children().all())
+    children.insert(name);
+  cluster->net.is_cut = [cut, children](const auto& from, const auto& to) {
+    const std::string& sender = from.settings.self.name;
+    const std::string& receiver = to.settings.self.name;
+    return (sender == cut && children.count(receiver) == 0) ||
+           (receiver == cut && children.count(sender) == 0);
+  };
+  std::map<std::string, time_point> last_named;
+  for (const auto& [name, one] : cluster->net.all()) {
+    if (!one->settings.is_source && name != cut)
+      last_named[name] = cluster->net.now();
+  }
+  duration longest{0};
+  for (int i = 0; i < 900; ++i) {
+    cluster->net.RunFor(milliseconds(100));
+    for (const char* name : {"control-0", "control-1", "control-2"}) {
+      for (const node_identity& node : cluster->net.At(name).node->Names())
+        last_named[node.name] = cluster->net.now();
+    }
+    for (const auto& [name, named] : last_named) {
+      if (name != cut) longest = std::max(longest, cluster->net.now() - named);
+    }
+  }
+  return longest;
+}
+
+// The leader takes a member out whose process it misses for longer.
+Test(distribution,
+     nodes_below_a_relay_that_is_cut_off_are_not_missed_for_long) {
+  test::CheckProperty("shorter than the patience", []() {
+    test::network_settings network;
+    network.seed = *rc::gen::arbitrary<std::uint64_t>();
+    network.loss = *rc::gen::element(0.0, 0.01);
+    distribution_fixture cluster(network);
+    cluster.AddNodes(15);
+    for (int i = 0; i < 9; ++i)
+      cluster.AddTargetDaemon("target-" + std::to_string(i), "service-1");
+    cluster.Change();
+    cluster.net.RunFor(seconds(30));
+    const auto index = *rc::gen::inRange<std::size_t>(0, cluster.nodes.size());
+    const duration longest = LongestMissed(&cluster, cluster.nodes[index]);
+    RC_ASSERT(longest < absence_settings().patience);
+  });
+}
+
 Test(distribution, a_node_far_behind_gets_a_snapshot_in_parts) {
   test::network_settings network;
   network.loss = 0.1;
