--- a/include/tamaracklatch/control/control_state.h
+++ b/include/tamaracklatch/control/control_state.h
@@ -1,6 +1,7 @@
 // The replicated state of the control VMs: which documents and which document
-// set were accepted, which targets are members and which nodes are known. The same entries in the
-// same order give the same state, bytes and answers on every VM.
+// set were accepted, which targets are members and which nodes are known. The
+// same entries in the same order give the same state, bytes and answers on
+// every VM.
 //
 //   control_state state(&listener);           // OnApplied tells each outcome
 //   state.Apply(revision{7}, Encode(command));  // from the log, in order
@@ -172,8 +173,8 @@
   std::shared_ptr<const accepted_set> set_;        // versions only rise
   std::map<std::string, service_state> services_;  // by name
   known_nodes nodes_;
-  std::map<target_id, target_extra> extras_;       // one for each target
-  std::vector<target_slot> slots_;                 // by target_id::index
+  std::map<target_id, target_extra> extras_;  // one for each target
+  std::vector<target_slot> slots_;            // by target_id::index
 
   // Indexes, rebuilt after Restore.
   std::map<address_key, service_id> owners_;
