--- a/src/daemon/gate_door.h
+++ b/src/daemon/gate_door.h
@@ -23,32 +23,32 @@
 
 namespace tamaracklatch {
 
-// `gate_type` is set_gate or submission_gate.
-template <typename gate_type>
+// `Gate` is set_gate or submission_gate.
+template <typename Gate>
 class gate_door {
  public:
-  using actions = typename gate_type::actions;
+  using actions = typename Gate::actions;
   using action = typename actions::value_type;
 
-  explicit gate_door(gate_type gate) : gate_(std::move(gate)) {}
+  explicit gate_door(Gate gate) : gate_(std::move(gate)) {}
   gate_door(const gate_door&) = delete;
   gate_door& operator=(const gate_door&) = delete;
 
   // Call before anything else; `log` must outlive the door.
   void SetLog(command_log* log) { log_ = log; }
 
-  gate_type& gate() { return gate_; }
+  Gate& gate() { return gate_; }
 
   // The number of a new request, for the gate.
   std::uint64_t NextRequest() { return next_request_++; }
 
   // Carries out what the gate said to the request. `reply` is called once with
   // its answer, now or later.
-  template <typename answer>
-  void Await(std::uint64_t request, std::function<void(const answer&)> reply,
+  template <typename Answer>
+  void Await(std::uint64_t request, std::function<void(const Answer&)> reply,
              const actions& said) {
     replies_[request] = [reply = std::move(reply)](const action& given) {
-      reply(std::get<answer>(given));
+      reply(std::get<Answer>(given));
     };
     Perform(said);
   }
@@ -93,8 +93,8 @@
     });
   }
 
-  template <typename answer>
-  void Do(const answer& what, const action& given) {
+  template <typename Answer>
+  void Do(const Answer& what, const action& given) {
     const auto found = replies_.find(what.request);
     if (found == replies_.end()) return;
     const auto reply = std::move(found->second);
@@ -102,7 +102,7 @@
     reply(given);
   }
 
-  gate_type gate_;
+  Gate gate_;
   command_log* log_ = nullptr;
   std::map<std::uint64_t, std::function<void(const action&)>>
       replies_;  // by the request's number
--- a/src/daemon/http_open.h
+++ b/src/daemon/http_open.h
@@ -10,8 +10,8 @@
 namespace tamaracklatch {
 
 // Starts to listen. On failure says why, drops the server and returns false.
-template <typename server_type>
-bool OpenHttpServer(std::unique_ptr<server_type>* server, const endpoint& where,
+template <typename Server>
+bool OpenHttpServer(std::unique_ptr<Server>* server, const endpoint& where,
                     failure* last_failure) {
   try {
     (*server)->open_sync();
--- a/src/daemon/operator_commands.cc
+++ b/src/daemon/operator_commands.cc
@@ -108,12 +108,11 @@
 }
 
 // The text of the file, and `document` as `parse` reads it. Tells each fault.
-template <typename document_type>
+template <typename Document>
 std::optional<std::string> ReadDocument(
     const std::string& path,
-    std::optional<document_type> (*parse)(std::string_view,
-                                          std::vector<failure>*),
-    std::optional<document_type>* document, std::ostream& errors) {
+    std::optional<Document> (*parse)(std::string_view, std::vector<failure>*),
+    std::optional<Document>* document, std::ostream& errors) {
   auto text = ReadWholeFile(path);
   if (!text) {
     fmt::print(errors, "{}: can't be read\n", path);
--- a/tests/daemon/control_desk.h
+++ b/tests/daemon/control_desk.h
@@ -42,7 +42,7 @@
 };
 
 // `door` hears of applied entries: a gate_door or what has one.
-template <typename door_type>
+template <typename Door>
 class control_desk final : public control_listener {
  public:
   void OnApplied(const command_outcome& outcome,
@@ -59,7 +59,7 @@
 
   fake_log log;
   control_state state{this};
-  door_type* door = nullptr;
+  Door* door = nullptr;
   std::uint64_t entries = 0;
 };
 
