End the story of a document set where its last process applied it

What had happened is that one control VM stood still for 7.3 s. Change: processes that are new after the story began do not count, and lines after the last application are left out. After: "in force at 9 of 9, last at 10.3.0.31:7360, +3802 ms", with the line of the standstill above it. Test: golden session explain_set_and_new_process; the other sessions are unchanged.

--- a/src/timeline/set_story.cc
+++ b/src/timeline/set_story.cc
@@ -43,9 +43,14 @@
   set_story(const std::vector<log_entry>& entries, std::uint64_t version,
             const log_merge& logs)
       : entries_(entries), version_(version), logs_(logs) {
+    std::set<std::string> heard;  // processes, since their log begins
+    std::set<std::string> later;  // that were new after the story began
     for (const log_entry& entry : entries) {
       const event& what = entry.what;
-      if (!IsOfSets(what.id)) continue;
+      const bool is_new = heard.insert(entry.process).second &&
+                          what.id == event_id::kProcessStarted;
+      if (is_new && !own_.empty()) later.insert(entry.process);
+      if (!IsOfSets(what.id) || later.count(entry.process) > 0) continue;
       if (what.id == event_id::kSetApplied) {
         applies_.insert(entry.process);
         if (what.version >= version) applied_.emplace(entry.process, &entry);
@@ -85,7 +90,19 @@
 
  private:
   wall_time start() const { return own_.front()->wall; }
-  wall_time end() const { return own_.back()->wall; }
+  // What comes after the last process applied it has no part in its way.
+  wall_time end() const {
+    const log_entry* last = LastApplied();
+    return last == nullptr ? own_.back()->wall : last->wall;
+  }
+
+  const log_entry* LastApplied() const {
+    const log_entry* last = nullptr;
+    for (const auto& [process, entry] : applied_) {
+      if (last == nullptr || entry->wall > last->wall) last = entry;
+    }
+    return last;
+  }
 
   std::vector<std::string> Missing() const {
     std::vector<std::string> missing;
@@ -110,10 +127,7 @@
 
   std::vector<std::string> Conclusions() const {
     std::vector<std::string> lines;
-    const log_entry* last = nullptr;
-    for (const auto& [process, entry] : applied_) {
-      if (last == nullptr || entry->wall > last->wall) last = entry;
-    }
+    const log_entry* last = LastApplied();
     if (last == nullptr) {
       lines.emplace_back("no process says that it is in force");
       return lines;
--- a/tests/timeline/explain_test.cc
+++ b/tests/timeline/explain_test.cc
@@ -215,6 +215,16 @@
       .See("balancer-1", 70, OfSet(event_id::kViewConfirmed, 8));
 }
 
+// A process that is new after the set was accepted says nothing of its way.
+fleet SetAndNewProcess() {
+  return fleet()
+      .See("balancer-1", -9000, What(event_id::kProcessStarted))
+      .See("control-1", 0, OfSet(event_id::kSetAccepted, 7))
+      .See("balancer-1", 20, OfSet(event_id::kSetApplied, 7))
+      .See("balancer-2", 9000, What(event_id::kProcessStarted))
+      .See("balancer-2", 9010, OfSet(event_id::kSetApplied, 7));
+}
+
 struct golden_row {
   const char* name;
   fleet logs;
@@ -231,6 +241,7 @@
       {"version_before", ServedByTheVersionBefore(), 0},
       {"missing_lines", MissingLines(), 0},
       {"set_in_force", Sets(), 7},
+      {"set_and_new_process", SetAndNewProcess(), 7},
   };
   for (const golden_row& row : rows) {
     test::CheckGolden(
