Say in the story of a flow that its searches have no end, and who was silent then

A search that goes to a daemon that is gone writes its beginning only; nothing in the story pointed at the silent node, as nobody in it had named that node.

--- a/src/timeline/flow_story.cc
+++ b/src/timeline/flow_story.cc
@@ -196,11 +196,38 @@
     AddRefusals(&lines);
     AddLosses(claimed, &lines);
     AddVersion(&lines);
+    AddLostSearches(&lines);
     if (claimed.empty() && reset == nullptr)
       lines.emplace_back("no line says how the opening ended");
     return lines;
   }
 
+  // Searches that began and never ended: the segment came to somebody who does
+  // not write. A flow that is found is hinted, and not searched that often.
+  void AddLostSearches(std::vector<std::string>* lines) const {
+    constexpr std::size_t kOften = 3;
+    std::vector<const log_entry*> begun;
+    for (const log_entry* entry : own_) {
+      const event_id id = entry->what.id;
+      if (id == event_id::kSearchStarted) begun.push_back(entry);
+      if (id == event_id::kSearchFailed || id == event_id::kSegmentReset ||
+          id == event_id::kFlowClaimed)
+        begun.clear();
+    }
+    if (begun.size() < kOften) return;
+    std::set<std::string> silent;
+    for (const log_entry& entry : entries_) {
+      if (entry.what.id == event_id::kNodeSilent &&
+          entry.wall >= begun.front()->wall - kAround && entry.wall <= end())
+        silent.insert(entry.what.peer);
+    }
+    std::string text = fmt::format(
+        "{} searches since {} have no end; not heard of at that time:",
+        begun.size(), TellTime(begun.front()->wall));
+    for (const std::string& peer : silent) text += " " + peer;
+    lines->push_back(text + (silent.empty() ? " nobody" : ""));
+  }
+
   // The targets that would not take the opening.
   void AddRefusals(std::vector<std::string>* lines) const {
     for (const log_entry* entry : own_) {
--- a/tests/timeline/explain_test.cc
+++ b/tests/timeline/explain_test.cc
@@ -180,6 +180,21 @@
                   result_code::kSearchEnded, "2 visits, 2 possible owners"));
 }
 
+// A flow whose owner was killed, and a third possible owner that is gone: each
+// search goes there in the end.
+fleet LostSearches() {
+  fleet logs =
+      fleet()
+          .See("balancer-1", 0, Placed("10.1.0.11:7720", 6))
+          .See("desk-1", 6, OfFlow(event_id::kFlowClaimed))
+          .See("desk-1", 4120, What(event_id::kProcessStarted))
+          .See("desk-2", 5500, What(event_id::kNodeSilent, "10.1.0.19:7720"));
+  for (const int at : {6000, 7600, 9200}) {
+    logs.See("desk-2", at, OfFlow(event_id::kSearchStarted, "10.1.0.11:7720"));
+  }
+  return logs;
+}
+
 // An opening placed between a set's acceptance and its coming into force.
 fleet ServedByTheVersionBefore() {
   return fleet()
@@ -238,6 +253,7 @@
       {"reset_opening", ResetOpening(), 0},
       {"cut_answer", CutAnswer(), 0},
       {"killed_owner", KilledOwner(), 0},
+      {"lost_searches", LostSearches(), 0},
       {"version_before", ServedByTheVersionBefore(), 0},
       {"missing_lines", MissingLines(), 0},
       {"set_in_force", Sets(), 7},
