--- a/tests/timeline/explain_test.cc
+++ b/tests/timeline/explain_test.cc
@@ -180,6 +180,21 @@
                   result_code::kSearchEnded, "2 visits, 2 possible owners"));
 }
 
+// A flow whose owner was killed, and a third possible owner that is gone: each
+// search goes there in the end.
+fleet LostSearches() {
+  fleet logs =
+      fleet()
+          .See("balancer-1", 0, Placed("10.1.0.11:7720", 6))
+          .See("desk-1", 6, OfFlow(event_id::kFlowClaimed))
+          .See("desk-1", 4120, What(event_id::kProcessStarted))
+          .See("desk-2", 5500, What(event_id::kNodeSilent, "10.1.0.19:7720"));
+  for (const int at : {6000, 7600, 9200}) {
+    logs.See("desk-2", at, OfFlow(event_id::kSearchStarted, "10.1.0.11:7720"));
+  }
+  return logs;
+}
+
 // An opening placed between a set's acceptance and its coming into force.
 fleet ServedByTheVersionBefore() {
   return fleet()
@@ -215,6 +230,16 @@
       .See("balancer-1", 70, OfSet(event_id::kViewConfirmed, 8));
 }
 
+// A process that is new after the set was accepted says nothing of its way.
+fleet SetAndNewProcess() {
+  return fleet()
+      .See("balancer-1", -9000, What(event_id::kProcessStarted))
+      .See("control-1", 0, OfSet(event_id::kSetAccepted, 7))
+      .See("balancer-1", 20, OfSet(event_id::kSetApplied, 7))
+      .See("balancer-2", 9000, What(event_id::kProcessStarted))
+      .See("balancer-2", 9010, OfSet(event_id::kSetApplied, 7));
+}
+
 struct golden_row {
   const char* name;
   fleet logs;
@@ -228,9 +253,11 @@
       {"reset_opening", ResetOpening(), 0},
       {"cut_answer", CutAnswer(), 0},
       {"killed_owner", KilledOwner(), 0},
+      {"lost_searches", LostSearches(), 0},
       {"version_before", ServedByTheVersionBefore(), 0},
       {"missing_lines", MissingLines(), 0},
       {"set_in_force", Sets(), 7},
+      {"set_and_new_process", SetAndNewProcess(), 7},
   };
   for (const golden_row& row : rows) {
     test::CheckGolden(
