--- a/src/roster/set_fetcher.cc
+++ b/src/roster/set_fetcher.cc
@@ -149,14 +149,9 @@
          std::min<std::size_t>(kMaxSetPart, part.size - part.offset);
 }
 
-std::optional<std::string> set_fetcher::Assemble(
-    const document_set& held) const {
-  std::optional<std::string> whole =
-      wants_delta_ ? ApplySetDeltas(held, bytes_) : bytes_;
-  if (!whole || whole->size() != head_.size ||
-      HashBytes(whole->data(), whole->size()) != head_.hash)
-    return std::nullopt;
-  return whole;
+bool set_fetcher::IsWhole(const std::string& bytes) const {
+  return bytes.size() == head_.size &&
+         HashBytes(bytes.data(), bytes.size()) == head_.hash;
 }
 
 set_fetcher::sends set_fetcher::OnPart(const set_part& part,
@@ -184,18 +179,21 @@
     AskMore(now, &out);
     return out;
   }
-  std::optional<std::string> whole = Assemble(held);
-  if (!whole && wants_delta_) {
-    wants_delta_ = false;
-    Restart(now);
-    AskMore(now, &out);
-    return out;
-  }
-  if (!whole) {
+  if (wants_delta_) {
+    std::optional<std::string> whole = ApplySetDeltas(held, bytes_);
+    if (!whole || !IsWhole(*whole)) {
+      wants_delta_ = false;
+      Restart(now);
+      AskMore(now, &out);
+      return out;
+    }
+    *complete = std::move(whole);
+  } else if (IsWhole(bytes_)) {
+    *complete = std::move(bytes_);
+  } else {
     Reject(now);
     return out;
   }
-  *complete = std::move(whole);
   given_ = head_;
   Restart(now + kRejectedPause);  // unless the set turns out to be of use
   return out;
--- a/src/roster/set_fetcher.h
+++ b/src/roster/set_fetcher.h
@@ -56,7 +56,7 @@
   void Ask(const request& what, sends* out) const;
   void AskMore(time_point now, sends* out);
   bool Fits(const set_part& part) const;
-  std::optional<std::string> Assemble(const document_set& held) const;
+  bool IsWhole(const std::string& bytes) const;
 
   set_head head_;
   set_head given_;  // the last set completed; a base once the caller holds it
