Count a silent daemon without a report as an owner only where it had a target before

The directory now keeps the last start that an earlier start of the daemon told; without one, or where that target had ended, a silent daemon without a report owns nothing. Check changed: the row "silent, unreported, no target" says no now, and a table has the pasts of a daemon that started again; its row "had a target" is what schedule was about. The world of the schedules confirmed a daemon's view one second after its start also where its VM had been cut off until a moment before ( with 1 balancer and 2 places); a view counts now from when the VM is in touch for a second.

--- a/src/steering/target_directory.cc
+++ b/src/steering/target_directory.cc
@@ -44,6 +44,9 @@
     services_[service].push_back(place->second);
   }
   if (is_new || target.generation != record.generation) {
+    if (target.last_start != 0)
+      target.prior_start =
+          target.HasEnded(target.last_start) ? 0 : target.last_start;
     target.last_start = 0;
     target.node = NodeTag(record.where, record.generation);
     target.known_since = now;
@@ -57,7 +60,10 @@
   target.load = record.load;
   target.cold_until = entry.learned + record.cold_remaining;
   target.target_start = record.target_start;
-  if (record.target_start != 0) target.last_start = record.target_start;
+  if (record.target_start != 0) {
+    target.last_start = record.target_start;
+    target.prior_start = 0;
+  }
   target.changed = now;
   return true;
 }
@@ -81,6 +87,10 @@
   // A target that lived on beside the daemon would have reported.
   if (target.condition == target_condition::kAbsent && target.last_start == 0)
     return false;
+  // A daemon that ended before its first report, and had no target before.
+  if (target.condition == target_condition::kUnreported &&
+      target.liveness == node_liveness::kSilent && target.prior_start == 0)
+    return false;
   if (target.liveness != node_liveness::kGone) return true;
   // The daemon left; its target may live on.
   return !target.HasEnded(target.last_start) &&
--- a/src/steering/target_directory.h
+++ b/src/steering/target_directory.h
@@ -35,6 +35,9 @@
   std::uint64_t target_start = 0;
   // The last start that this start of the daemon told; 0: none yet.
   std::uint64_t last_start = 0;
+  // The last start that an earlier start of the daemon told, while it may live
+  // on and this one has told none; 0: none is known.
+  std::uint64_t prior_start = 0;
   time_point known_since;  // this start of the daemon
   time_point changed;
 
--- a/tests/steering/steering_world.cc
+++ b/tests/steering/steering_world.cc
@@ -78,7 +78,8 @@
   std::uint64_t daemon_number = 0;
   roster_entry entry;  // what was spread last
   std::uint64_t changes = 0;
-  heard_changes heard;  // by this start of the daemon
+  std::uint64_t in_touch = 0;  // spans of being in touch so far
+  heard_changes heard;         // by this start of the daemon
 };
 
 struct steering_world::caller {
@@ -235,6 +236,7 @@
       case 6:  // the VM is cut off for a while
         if (where->dark) break;
         where->dark = true;
+        ++where->in_touch;
         where->daemon->SetConfirmed(false);
         After(milliseconds(600), [this, where] {
           if (where->dark) Spread(where, node_liveness::kSilent);
@@ -245,10 +247,7 @@
           for (const auto& each : slots_) {
             if (each->changes > 0) TellDaemon(where, *each);
           }
-          After(seconds(1), [where, number = where->daemon_number] {
-            if (where->daemon_number == number)
-              where->daemon->SetConfirmed(!where->dark);
-          });
+          ConfirmLater(where);
         });
         break;
       case 7:
@@ -301,10 +300,7 @@
   where->daemon->SetConfirmed(false);
   where->heard.clear();
   const std::uint64_t number = ++where->daemon_number;
-  After(seconds(1), [where, number] {
-    if (where->daemon_number == number)
-      where->daemon->SetConfirmed(!where->dark);
-  });
+  ConfirmLater(where);
   where->before_server = before_server;
   where->knows_draining = false;
   where->record.where = where->where;
@@ -386,6 +382,15 @@
   }
 }
 
+// A daemon whose VM has been in touch for a second has heard of all changes.
+void steering_world::ConfirmLater(slot* where) {
+  const std::uint64_t span = ++where->in_touch;
+  After(seconds(1), [where, span] {
+    if (where->in_touch == span && !where->dark)
+      where->daemon->SetConfirmed(true);
+  });
+}
+
 void steering_world::TellDaemon(slot* to, const slot& of) {
   After(UpTo(kRosterLag), [this, to, number = to->daemon_number,
                            entry = of.entry, change = of.changes] {
--- a/tests/steering/steering_world.h
+++ b/tests/steering/steering_world.h
@@ -72,6 +72,7 @@
   void Beat(slot* where);
   void RouteHeld(std::size_t number);
   void Spread(slot* where, node_liveness liveness);
+  void ConfirmLater(slot* where);
   void TellDaemon(slot* to, const slot& of);
   static bool IsNews(const roster_entry& entry, std::uint64_t change,
                      heard_changes* heard);
--- a/tests/steering/target_directory_test.cc
+++ b/tests/steering/target_directory_test.cc
@@ -211,7 +211,7 @@
                             {node_liveness::kAlive, kUnreported, 0, true},
                             {node_liveness::kAlive, kAbsent, 0, false},
                             {node_liveness::kSilent, kReady, 100, true},
-                            {node_liveness::kSilent, kUnreported, 0, true},
+                            {node_liveness::kSilent, kUnreported, 0, false},
                             {node_liveness::kSilent, kAbsent, 0, false},
                             {node_liveness::kGone, kReady, 100, true},
                             {node_liveness::kGone, kUnreported, 0, true},
@@ -228,6 +228,48 @@
   }
 }
 
+struct restart_row {
+  const char* name;
+  target_condition before;  // of the earlier start of the daemon
+  node_liveness stopped;    // how it went
+  std::uint64_t target_start;
+  bool may_own;
+};
+
+// A daemon that started again and was cut off before the first report.
+Test(directory, lists_a_silent_daemon_whose_target_may_live_on) {
+  constexpr auto kReady = target_condition::kReady;
+  constexpr auto kAbsent = target_condition::kAbsent;
+  constexpr auto kUnreported = target_condition::kUnreported;
+  constexpr auto kSilent = node_liveness::kSilent;
+  const restart_row rows[] = {
+      {"had a target", kReady, kSilent, 100, true},
+      {"left beside its target", kReady, node_liveness::kGone, 100, true},
+      {"left after its target", kAbsent, node_liveness::kGone, 0, false},
+      {"never had one", kUnreported, kSilent, 0, false}};
+  for (const restart_row& row : rows) {
+    target_directory directory("a", kMaxFlowAge);
+    roster_entry entry = TargetAt(1, "web");
+    if (row.before == kUnreported) entry.record.target_start = 0;
+    entry.record.condition =
+        row.before == kAbsent ? target_condition::kReady : row.before;
+    directory.Update(entry, kStart);
+    entry.record.condition = row.before;
+    entry.record.target_start = row.target_start;
+    entry.liveness = row.stopped;
+    directory.Update(entry, kStart);
+    for (int restarts = 0; restarts < 2; ++restarts) {
+      ++entry.record.generation;
+      entry.record.condition = kUnreported;
+      entry.record.target_start = 0;
+      entry.liveness = kSilent;
+      directory.Update(entry, kStart);
+      const owner_search& search = directory.ListOwners(HeaderOf(1), kStart);
+      cr_assert((search.size() == 1) == row.may_own, "%s", row.name);
+    }
+  }
+}
+
 // Sixteen bits were too few: two of fourteen targets shared a tag, and the
 // search for the flows of one ended at the other.
 Test(directory, tags_of_an_installation_differ) {
