Serve under the id of a later join at a target daemon

Ruled out: a new flow_owner for each join, which would forget the open flows of a target that lived on; a new incarnation for each join, by the same reason. Change: flow_owner takes the id under which its view lists its own incarnation; key_ownership gives up all buckets at a join, since other daemons may have run their keys meanwhile, and asks before it runs keys again. Tests, failing before: flow owner serves_under_the_id_of_a_later_join; key_ownership a_target_that_joined_again_asks_before_it_runs_keys.

--- a/include/tamaracklatch/flow/flow_owner.h
+++ b/include/tamaracklatch/flow/flow_owner.h
@@ -45,8 +45,8 @@
 // Settings of one flow_owner. `service` and `self` must be set.
 struct flow_owner_settings {
   service_id service;
-  target_id self;
-  incarnation started;  // of `self`
+  target_id self;       // the first id; see flow_owner::self()
+  incarnation started;  // of this daemon
   endpoint packets;     // where this daemon receives envelopes
   std::size_t max_flows = std::size_t{1} << 20U;  // no flow opens beyond it
   std::chrono::milliseconds hold_limit{300};  // longest time a packet is held
@@ -159,6 +159,9 @@
                        std::vector<owner_action>* actions);
   // The revision of the current view.
   revision at() const { return table_.at(); }
+  // The id of this target. A target that was removed and joins again under the
+  // same incarnation gets another one, which the view brings.
+  target_id self() const { return settings_.self; }
 
   // Handles a packet or report from a balancer or another target daemon.
   void OnEnvelope(const envelope& message, time_point now,
@@ -322,6 +325,8 @@
   void DropPacket(result_code reason, const envelope& message,
                   std::vector<owner_action>* actions);
 
+  // Takes the id under which the view lists this incarnation.
+  void UpdateSelf(const placed_service& service);
   // Called when the view of the service has changed.
   void OnViewChanged(time_point now, std::vector<owner_action>* actions);
   // Recomputes candidate_buckets_ from the current placement.
--- a/include/tamaracklatch/request/key_ownership.h
+++ b/include/tamaracklatch/request/key_ownership.h
@@ -32,6 +32,10 @@
   // `owner` must outlive this.
   key_ownership(target_id self, request_owner* owner);
 
+  // The target joined again under another id. Other daemons may have owned its
+  // buckets in between, so it owns none until the next Apply.
+  void Rejoin(target_id self);
+
   // Takes the service's placement at a revision; older ones are ignored.
   void Apply(revision at, const service_placement& placement, wall_time now);
 
--- a/src/daemon/request_front.cc
+++ b/src/daemon/request_front.cc
@@ -150,7 +150,11 @@
   return true;
 }
 
-void request_front::OnView(const cluster_view& view) {
+void request_front::OnView(const cluster_view& view, target_id self) {
+  if (self != self_) {
+    self_ = self;
+    keys_.Rejoin(self);
+  }
   const auto own = view.targets.find(self_);
   if (own == view.targets.end()) return;
   const auto service = view.services.find(own->second.service);
--- a/src/daemon/request_front.h
+++ b/src/daemon/request_front.h
@@ -40,8 +40,8 @@
   // Starts to listen. On failure returns false and says why.
   bool Start(failure* last_failure);
 
-  // The newest view of the service.
-  void OnView(const cluster_view& view);
+  // The newest view of the service, and the id of this target in it.
+  void OnView(const cluster_view& view, target_id self);
   // Until when this daemon's lease lasts.
   void OnLease(std::optional<time_point> lease_end);
 
--- a/src/daemon/targetd.cc
+++ b/src/daemon/targetd.cc
@@ -90,14 +90,14 @@
     if (!owner_) return MeetOwnRecord();
     owner_->Apply(step, frame_.Now(), &actions_);
     Perform();
-    if (front_) front_->OnView(view_.node().view());
+    if (front_) front_->OnView(view_.node().view(), owner_->self());
   }
 
   void OnViewReplaced(const cluster_view& view) override {
     if (!owner_) return MeetOwnRecord();
     owner_->Reset(view, frame_.Now(), &actions_);
     Perform();
-    if (front_) front_->OnView(view);
+    if (front_) front_->OnView(view, owner_->self());
   }
 
   void OnServingAllowed() override { MeetOwnRecord(); }
@@ -180,7 +180,7 @@
       return;
     }
     front_->OnLease(announcer_.lease_end());
-    front_->OnView(view_.node().view());
+    front_->OnView(view_.node().view(), self);
     if (stopping_) front_->Drain();
   }
 
--- a/src/flow/flow_owner.cc
+++ b/src/flow/flow_owner.cc
@@ -50,10 +50,17 @@
   OnViewChanged(now, actions);
 }
 
+void flow_owner::UpdateSelf(const placed_service& service) {
+  for (const auto& [id, target] : service.targets) {
+    if (target.started == settings_.started) settings_.self = id;
+  }
+}
+
 void flow_owner::OnViewChanged(time_point now,
                                std::vector<owner_action>* actions) {
   const placed_service* service = table_.Find(settings_.service);
   if (service != nullptr) {
+    UpdateSelf(*service);
     const auto self = service->targets.find(settings_.self);
     if (self != service->targets.end() &&
         self->second.state == target_state::kDraining) {
--- a/src/request/key_ownership.cc
+++ b/src/request/key_ownership.cc
@@ -21,6 +21,14 @@
 key_ownership::key_ownership(target_id self, request_owner* owner)
     : self_(self), owner_(owner), owned_(kKeyBuckets, false) {}
 
+void key_ownership::Rejoin(target_id self) {
+  self_ = self;
+  for (std::uint32_t bucket = 0; bucket < kKeyBuckets; ++bucket) {
+    if (owned_[bucket]) owner_->Disown(bucket);
+    owned_[bucket] = false;
+  }
+}
+
 bool key_ownership::ForgetGone(const service_placement& placement,
                                wall_time now) {
   bool any = false;
--- a/tests/flow/owner_test.cc
+++ b/tests/flow/owner_test.cc
@@ -117,6 +117,48 @@
   cr_assert(fixture.Count<deliver_packet>() == 1);
 }
 
+// A target whose lease ran out is removed and joins again under another id.
+Test(owner, serves_under_the_id_of_a_later_join) {
+  constexpr target_id kLater{0, 2};
+  owner_fixture fixture;
+  envelope open = fixture.Packet(ip_protocol::kUdp, flow_opening::kYes);
+  fixture.owner->OnEnvelope(open, kStart, &fixture.actions);
+  target_record rejoined = fixture.view.targets[kSelf];
+  rejoined.id = kLater;
+  fixture.view.at = {2};
+  fixture.view.targets = {};
+  fixture.owner->Reset(fixture.view, kStart, &fixture.actions);
+  cr_assert(fixture.owner->self() == kSelf);
+  fixture.view.at = {3};
+  fixture.view.targets[kLater] = rejoined;
+  fixture.owner->Reset(fixture.view, kStart, &fixture.actions);
+  cr_assert(fixture.owner->self() == kLater);
+  struct row {
+    const char* name;
+    target_id addressed;
+    incarnation started;
+    std::uint16_t port;
+    std::size_t delivered;
+  };
+  constexpr row kRows[] = {
+      {"an open flow", kLater, kStarted, 1234, 1},
+      {"a new flow", kLater, kStarted, 1235, 1},
+      {"the earlier id", kSelf, kStarted, 1236, 0},
+      {"another incarnation", kLater, {78}, 1237, 0},
+  };
+  for (const row& each : kRows) {
+    fixture.actions.clear();
+    envelope message = fixture.Packet(ip_protocol::kUdp, flow_opening::kYes);
+    message.target = each.addressed;
+    message.started = each.started;
+    message.at = {3};
+    message.key.source_port = each.port;
+    fixture.owner->OnEnvelope(message, kStart, &fixture.actions);
+    cr_assert(fixture.Count<deliver_packet>() == each.delivered, "%s",
+              each.name);
+  }
+}
+
 Test(owner, bounds_how_long_and_how_many_it_holds) {
   owner_fixture fixture;
   envelope message = fixture.Packet(ip_protocol::kTcp, flow_opening::kNo);
--- a/tests/request/key_ownership_test.cc
+++ b/tests/request/key_ownership_test.cc
@@ -70,5 +70,26 @@
             key_decision(key_run{}).index());
 }
 
+// While the target was out, its peer owned the buckets and may have run keys.
+Test(key_ownership, a_target_that_joined_again_asks_before_it_runs_keys) {
+  request_owner_settings settings;
+  settings.started = Wall(-seconds(60));
+  request_owner owner(settings);
+  owner.Renew(time_point(seconds(1000)));
+  const target_id first{1, 7};
+  const target_id peer{2, 1};
+  key_ownership keys(first, &owner);
+  keys.Apply({5}, Placement({5}, {first, peer}), Wall(seconds(0)));
+  keys.OnAcknowledged(peer, {5}, Wall(seconds(1)));
+  keys.Rejoin(kSelf);
+  const auto rejoined = Placement({7}, {kSelf, peer});
+  cr_expect(Decide(&owner, rejoined, seconds(2)) !=
+            key_decision(key_run{}).index());
+  keys.Apply({7}, rejoined, Wall(seconds(100)));
+  cr_assert(keys.missing().size() == 1);
+  cr_expect(Decide(&owner, rejoined, seconds(101)) !=
+            key_decision(key_run{}).index());
+}
+
 }  // namespace
 }  // namespace tamaracklatch
