Keep refusals from flows that a later start or a later share opened

(1) A new set moved the route's share; a balancer with the set of before lists the old services only. (2) A daemon that had promised to take no later copy restarted together with its target and forgot it. (3) A duplicate of the first copy reached a later start of the daemon whose earlier start had seen it refused (schedule, 2 balancers, 2 VMs, fault rate 2; found after the mend of 1 and 2). Ruled out: longer waits at the refuser, which can't know what it has not heard of. Change: no later copy is placed at a share that a set added, until all confirmed balancers have the set; a daemon takes in its first 2 s only first copies, and only those that were sent to this start of it (a header names the start). A balancer without a set holds the first copy of an opening for the last one, since daemons that just started take it. Checks: takes_only_first_copies_just_after_a_start asked that a daemon started together with its target takes later copies at once; that is case 2, so the row asks the opposite now, with two rows more for the receiver. Service after a loss of power, for which it was written, is what keeps_the_first_copy_of_an_opening is for.

--- a/include/tamaracklatch/steering/segment_router.h
+++ b/include/tamaracklatch/steering/segment_router.h
@@ -41,6 +41,9 @@
   // The age after which target daemons may remove a flow. The targets of each
   // service that a route had within this time are searched for owners.
   duration max_flow_age = std::chrono::seconds(60);
+  // The time in which all balancers whose view is confirmed apply an accepted
+  // document set.
+  duration max_set_delay = std::chrono::seconds(3);
 };
 
 // Send the header followed by the segment to the target daemon.
@@ -112,6 +115,9 @@
     std::string service;
     std::uint32_t tag = 0;     // ServiceTag
     std::uint32_t weight = 0;  // 0: gets no openings
+    // Until then another balancer may refuse the first copy of an opening
+    // without knowing of this share, so no later copy is placed here.
+    time_point first_copies_until;
   };
   // A service that an earlier set assigned to the address.
   struct past_service {
@@ -134,6 +140,9 @@
     std::size_t operator()(const endpoint& where) const noexcept;
   };
 
+  bool IsNewShare(const endpoint& where, std::uint32_t tag) const;
+  time_point FirstCopiesUntil(const endpoint& where, std::uint32_t tag,
+                              time_point now) const;
   void RetainPastServices(
       const std::unordered_map<endpoint, route, address_hash>& after,
       time_point now);
--- a/include/tamaracklatch/steering/steering_header.h
+++ b/include/tamaracklatch/steering/steering_header.h
@@ -48,6 +48,9 @@
   bool uncertain = false;
   std::uint64_t flow = 0;         // HashFlow of the key
   endpoint balancer;              // receives the hints
+  // kSegment: NodeTag of the start of the daemon that the sender knows at the
+  // receiving endpoint. A later start may receive the segment.
+  std::uint32_t receiver = 0;
   std::uint64_t set_version = 0;  // document set applied by the balancer
   // Load of the target whose daemon passed the segment on, in 1/256 of a slot.
   std::uint32_t sender_load = 0;
--- a/src/steering/segment_hold.cc
+++ b/src/steering/segment_hold.cc
@@ -13,11 +13,15 @@
 }  // namespace
 
 void segment_hold::Keep(std::uint64_t flow, hold_reason reason,
-                        std::string_view bytes, time_point now) {
+                        std::string_view bytes, bool opens, time_point now) {
   const auto known = segments_.find(flow);
   if (known == segments_.end() && segments_.size() >= max_segments_) return;
   entry& held = known == segments_.end() ? segments_[flow] : known->second;
-  held = {reason, std::string(bytes), now, 0, now};
+  if (known != segments_.end() && opens && held.opens) {
+    held.held_since = now;
+    return;
+  }
+  held = {reason, std::string(bytes), opens, now, 0, now};
 }
 
 std::vector<std::string> segment_hold::TakeDue(bool has_set, bool is_settled,
--- a/src/steering/segment_hold.h
+++ b/src/steering/segment_hold.h
@@ -14,7 +14,9 @@
 
 namespace tamaracklatch {
 
-// Invariant: at most one segment per flow, the last one added.
+// Invariant: at most one segment per flow, the last one added; of the copies of
+// an opening the first one added, since targets accept an earlier copy in more
+// cases than a later one.
 class segment_hold {
  public:
   // Why a segment is held.
@@ -27,10 +29,10 @@
   explicit segment_hold(std::size_t max_segments)
       : max_segments_(max_segments) {}
 
-  // Holds a copy of the segment and replaces an earlier one of the flow. Does
-  // nothing if there is no room.
+  // Holds a copy of the segment, which `opens` the flow or not, and replaces an
+  // earlier one of the flow. Does nothing if there is no room.
   void Keep(std::uint64_t flow, hold_reason reason, std::string_view bytes,
-            time_point now);
+            bool opens, time_point now);
 
   // Drops the flow's segment; called when the owner has become known.
   void Remove(std::uint64_t flow) { segments_.erase(flow); }
@@ -47,9 +49,10 @@
   struct entry {
     hold_reason reason = hold_reason::kNoSet;
     std::string bytes;
-    time_point held_since;
-    int sends = 0;         // times that it was returned by TakeDue
-    time_point next_send;  // earliest time of the next one
+    bool opens = false;
+    time_point held_since;  // the last Keep
+    int sends = 0;          // times that it was returned by TakeDue
+    time_point next_send;   // earliest time of the next one
   };
 
   // Appends the segment to `due` if it is to be sent now. True if the entry is
--- a/src/steering/segment_owner.cc
+++ b/src/steering/segment_owner.cc
@@ -201,12 +201,13 @@
     return;
   }
   // If the first copy was passed on, another daemon may refuse it, so no other
-  // copy is accepted. After a restart beside a running target, the earlier
-  // start of this daemon may have passed the first copy on.
-  const bool may_be_refused =
-      passed_openings_->Contains(header.flow, now) ||
-      (received.copy > 0 && now - started_ < kRefusalWindow &&
-       IsFlowTableIncomplete(now));
+  // copy is accepted. An earlier start of this daemon may have passed on the
+  // first copy or a duplicate of this one, and the daemon that refuses it need
+  // not know yet of this start.
+  const bool is_for_earlier_start = header.receiver != node_;
+  const bool may_be_refused = passed_openings_->Contains(header.flow, now) ||
+                              (now - started_ < kRefusalWindow &&
+                               (received.copy > 0 || is_for_earlier_start));
   const result_code reason =
       may_be_refused ? result_code::kTargetFull : CheckAdmission(now);
   if (reason != result_code::kOk) {
@@ -532,8 +533,9 @@
 void segment_owner::Pass(target_index target, const steering_header& header,
                          const segment& received,
                          std::vector<segment_action>* actions) {
-  pass_segment passed{targets_->At(target).where, header,
-                      std::string(received.bytes)};
+  const directory_target& receiver = targets_->At(target);
+  pass_segment passed{receiver.where, header, std::string(received.bytes)};
+  passed.header.receiver = receiver.node;
   if (received.returned) codec_->MarkDelivery(&passed.bytes, 0);
   actions->push_back(std::move(passed));
 }
--- a/src/steering/segment_router.cc
+++ b/src/steering/segment_router.cc
@@ -76,17 +76,18 @@
 void segment_router::SetRoutes(const document_set& set, time_point now) {
   if (set_version_ != 0 && set.version <= set_version_) return;
   if (set_version_ == 0) first_set_time_ = now;
-  set_version_ = set.version;
   std::unordered_map<endpoint, route, address_hash> after;
   for (const set_route& each : set.routes) {
     route& added = after[each.where];
     added.name = each.name;
     for (const service_share& share : each.shares) {
-      added.shares.push_back(
-          {share.service, ServiceTag(share.service), share.weight});
+      const std::uint32_t tag = ServiceTag(share.service);
+      added.shares.push_back({share.service, tag, share.weight,
+                              FirstCopiesUntil(each.where, tag, now)});
       added.total_weight += share.weight;
     }
   }
+  set_version_ = set.version;
   RetainPastServices(after, now);
   routes_ = std::move(after);
   for (auto& [where, each] : routes_) {
@@ -95,6 +96,27 @@
   }
 }
 
+// route_share::first_copies_until of a share in the set that replaces the
+// applied one. A balancer that has not applied the new set lists the services
+// of the earlier sets only, so its refusal does not cover an added service.
+time_point segment_router::FirstCopiesUntil(const endpoint& where,
+                                            std::uint32_t tag,
+                                            time_point now) const {
+  if (set_version_ == 0) return {};
+  const auto is_same = [&](const auto& other) { return other.tag == tag; };
+  const auto before = routes_.find(where);
+  if (before != routes_.end()) {
+    const auto& shares = before->second.shares;
+    const auto same = std::find_if(shares.begin(), shares.end(), is_same);
+    if (same != shares.end()) return same->first_copies_until;
+  }
+  const auto past = past_services_.find(where);
+  if (past != past_services_.end() &&
+      std::any_of(past->second.begin(), past->second.end(), is_same))
+    return {};
+  return now + settings_.max_set_delay + kMaxOpeningAge;
+}
+
 // Records the services that an address no longer has; their open flows
 // continue. Removes those whose time is over.
 void segment_router::RetainPastServices(
@@ -161,7 +183,8 @@
   const auto found = routes_.find(
       endpoint{received.key.destination, received.key.destination_port});
   if (set_version_ == 0) {
-    hold_->Keep(flow, segment_hold::hold_reason::kNoSet, received.bytes, now);
+    hold_->Keep(flow, segment_hold::hold_reason::kNoSet, received.bytes,
+                received.opens(), now);
     return Drop(result_code::kRouteUnknown);
   }
   if (found == routes_.end()) {
@@ -261,7 +284,9 @@
   for (std::size_t step = 0; step < matched.shares.size(); ++step) {
     const std::size_t share = (chosen + step) % matched.shares.size();
     const route_share& each = matched.shares[share];
-    if (each.weight == 0 || !RankCandidates(flow, each.tag)) continue;
+    if (each.weight == 0) continue;
+    if (received.copy > 0 && now < each.first_copies_until) continue;
+    if (!RankCandidates(flow, each.tag)) continue;
     const target_index target = ChooseTarget(received.copy, flow, now);
     ++counters_.openings;
     if (listener_ != nullptr) {
@@ -404,7 +429,7 @@
   if (now - since < kRosterSettleTime) header.confirmed = false;
   if (!header.confirmed && !IsViewSettled(now))
     hold_->Keep(flow, segment_hold::hold_reason::kUnsettled, received.bytes,
-                now);
+                false, now);
   // Each retransmission goes to another target first, so that a dead target
   // costs only one of them.
   std::size_t skipped = opening->searches;
@@ -434,7 +459,10 @@
 
 forward_segment segment_router::Forward(target_index target,
                                         const steering_header& header) const {
-  return {targets_->At(target).where, header};
+  const directory_target& receiver = targets_->At(target);
+  forward_segment sent{receiver.where, header};
+  sent.header.receiver = receiver.node;
+  return sent;
 }
 
 steering_decision segment_router::Refuse(const segment& received,
--- a/src/steering/steering_header.cc
+++ b/src/steering/steering_header.cc
@@ -1,8 +1,8 @@
 // The encoding of the steering header. Fields in order, with sizes in bytes:
 //   magic 1, flags 1 (kind, confirmed, uncertain, IPv6, version), flow 8,
 //   balancer 6 (IPv4) or 18 (IPv6), set version 8, sender load 4, possible
-//   owners 1, service count 1, visit count 1, target start 8 (kOwner only),
-//   services 4 each, visits 4 each.
+//   owners 1, service count 1, visit count 1, receiver 4 (kSegment only),
+//   target start 8 (kOwner only), services 4 each, visits 4 each.
 #include "tamaracklatch/steering/steering_header.h"
 
 #include <algorithm>
@@ -17,7 +17,7 @@
 namespace {
 
 constexpr std::uint8_t kMagic = 0x5a;
-constexpr std::uint8_t kVersion = 1;
+constexpr std::uint8_t kVersion = 2;
 
 constexpr std::uint8_t kKindMask = 0x07;
 constexpr std::uint8_t kConfirmedFlag = 0x08;
@@ -89,6 +89,7 @@
   writer.Write(header.possible_owners);
   writer.Write(header.service_count);
   writer.Write(header.visit_count);
+  if (header.kind == steering_kind::kSegment) writer.Write(header.receiver);
   if (header.kind == steering_kind::kOwner) writer.Write(header.target_start);
   for (std::size_t at = 0; at < header.service_count; ++at)
     writer.Write(header.services[at]);
@@ -142,6 +143,8 @@
     return Refuse(last_failure, result_code::kEnvelopeMalformed,
                   "a field of the steering header is out of range");
   }
+  if (header.kind == steering_kind::kSegment)
+    header.receiver = reader.Read<std::uint32_t>();
   if (header.kind == steering_kind::kOwner)
     header.target_start = reader.Read<std::uint64_t>();
   for (std::size_t at = 0; reader.ok() && at < header.service_count; ++at)
--- a/tests/steering/segment_hold_test.cc
+++ b/tests/steering/segment_hold_test.cc
@@ -37,7 +37,7 @@
        0, 0}};
   for (const take_row& row : kRows) {
     segment_hold hold(4);
-    hold.Keep(7, row.reason, "segment", kStart);
+    hold.Keep(7, row.reason, "segment", false, kStart);
     const auto due =
         hold.TakeDue(row.has_set, row.is_settled, kStart + row.later);
     cr_assert(due.size() == row.due, "%s", row.name);
@@ -48,7 +48,7 @@
 
 Test(hold, repeats_a_settled_segment_once) {
   segment_hold hold(4);
-  hold.Keep(7, hold_reason::kUnsettled, "segment", kStart);
+  hold.Keep(7, hold_reason::kUnsettled, "segment", false, kStart);
   cr_assert(hold.TakeDue(true, true, kStart).size() == 1);
   cr_assert(hold.TakeDue(true, true, kStart + milliseconds(99)).empty());
   cr_assert(hold.TakeDue(true, true, kStart + milliseconds(100)).size() == 1);
@@ -57,15 +57,28 @@
 
 Test(hold, keeps_the_last_segment_of_a_flow_until_its_owner_is_known) {
   segment_hold hold(2);
-  hold.Keep(7, hold_reason::kNoSet, "first", kStart);
-  hold.Keep(7, hold_reason::kNoSet, "last", kStart + milliseconds(200));
-  hold.Keep(8, hold_reason::kNoSet, "other", kStart);
-  hold.Keep(9, hold_reason::kNoSet, "no room", kStart);
+  hold.Keep(7, hold_reason::kNoSet, "first", false, kStart);
+  hold.Keep(7, hold_reason::kNoSet, "last", false, kStart + milliseconds(200));
+  hold.Keep(8, hold_reason::kNoSet, "other", false, kStart);
+  hold.Keep(9, hold_reason::kNoSet, "no room", false, kStart);
   hold.Remove(8);
   const auto due = hold.TakeDue(true, false, kStart + milliseconds(1100));
   cr_assert(due.size() == 1);
   cr_assert(due.front() == "last");
 }
 
+Test(hold, keeps_the_first_copy_of_an_opening) {
+  segment_hold hold(2);
+  hold.Keep(7, hold_reason::kNoSet, "copy 0", true, kStart);
+  hold.Keep(7, hold_reason::kNoSet, "copy 1", true, kStart + milliseconds(200));
+  hold.Keep(7, hold_reason::kNoSet, "copy 2", true, kStart + milliseconds(600));
+  const auto due = hold.TakeDue(true, false, kStart + milliseconds(1500));
+  cr_assert(due.size() == 1);
+  cr_assert(due.front() == "copy 0");
+  hold.Keep(8, hold_reason::kNoSet, "copy 0", true, kStart);
+  hold.Keep(8, hold_reason::kNoSet, "data", false, kStart);
+  cr_assert(hold.TakeDue(true, false, kStart).front() == "data");
+}
+
 }  // namespace
 }  // namespace tamaracklatch
--- a/tests/steering/segment_owner_test.cc
+++ b/tests/steering/segment_owner_test.cc
@@ -60,6 +60,7 @@
     header.confirmed = true;
     header.flow = HashFlow(key);
     header.balancer = BalancerAt(1);
+    header.receiver = NodeTag(DaemonAt(1), 1);
     header.service_count = 1;
     header.services[0] = ServiceTag("web");
     return header;
@@ -357,22 +358,27 @@
 
 // An earlier start of the daemon, beside the same target, may have passed the
 // first copy on, and another daemon may refuse it.
-Test(owner, takes_only_first_copies_just_after_a_start_beside_its_target) {
+Test(owner, takes_only_first_copies_just_after_a_start) {
   struct row {
     bool saw_target_start;
-    seconds after;  // the daemon's start
+    seconds after;           // the daemon's start
+    std::uint64_t receiver;  // generation of the start it was sent to
     std::uint32_t copy;
     bool takes;
   };
   constexpr row kRows[] = {
-      {false, seconds(1), 0, true},  {false, seconds(1), 1, false},
-      {false, seconds(1), 2, false}, {false, seconds(2), 1, true},
-      {true, seconds(1), 0, true},   {true, seconds(1), 1, true},
+      {false, seconds(1), 1, 0, true},  {false, seconds(1), 1, 1, false},
+      {false, seconds(1), 1, 2, false}, {false, seconds(2), 1, 1, true},
+      {true, seconds(1), 1, 0, true},   {true, seconds(1), 1, 1, false},
+      {true, seconds(1), 1, 2, false},  {true, seconds(2), 1, 1, true},
+      {true, seconds(1), 0, 0, false},  {true, seconds(2), 0, 0, true},
   };
   for (const row& each : kRows) {
     owner_fixture fixture(each.saw_target_start);
     fixture.now = kStart + each.after;
-    fixture.Steer(OpeningOf(FlowOf(1), each.copy));
+    steering_header header = owner_fixture::Header(FlowOf(1));
+    header.receiver = NodeTag(DaemonAt(1), each.receiver);
+    fixture.Steer(header, OpeningOf(FlowOf(1), each.copy));
     cr_assert((fixture.FindAction<deliver_segment>() != nullptr) == each.takes);
     cr_assert((fixture.FindAction<pass_segment>() != nullptr) == !each.takes);
   }
--- a/tests/steering/segment_router_test.cc
+++ b/tests/steering/segment_router_test.cc
@@ -458,5 +458,71 @@
   cr_assert(std::get<forward_segment>(fixture.SendData(2)).header.confirmed);
 }
 
+// A balancer that still has the set of before may refuse the first copy without
+// a visit to the added service.
+Test(router, places_only_first_copies_at_a_share_just_added) {
+  struct row {
+    const char* name;
+    std::vector<service_share> before;
+    seconds removed;  // since the set of before was replaced by one without
+                      // any share; 0: it was not
+    std::uint32_t copy;
+    milliseconds after;  // the new set
+    bool placed;
+  };
+  const std::vector<row> rows = {
+      {"first copy", {{"web", 1}}, seconds(0), 0, milliseconds(0), true},
+      {"later copy", {{"web", 1}}, seconds(0), 1, milliseconds(0), false},
+      {"until it is known",
+       {{"web", 1}},
+       seconds(0),
+       2,
+       milliseconds(4999),
+       false},
+      {"when it is known",
+       {{"web", 1}},
+       seconds(0),
+       1,
+       milliseconds(5000),
+       true},
+      {"was listed",
+       {{"web", 1}, {"shop", 0}},
+       seconds(0),
+       1,
+       milliseconds(0),
+       true},
+      {"was removed lately",
+       {{"shop", 1}},
+       seconds(5),
+       1,
+       milliseconds(0),
+       true},
+      {"was removed long ago",
+       {{"shop", 1}},
+       seconds(61),
+       1,
+       milliseconds(0),
+       false},
+  };
+  for (const row& each : rows) {
+    router_fixture fixture(each.before);
+    fixture.Update(TargetAt(7, "shop"));
+    std::uint64_t version = 1;
+    if (each.removed > seconds(0)) {
+      fixture.router->SetRoutes(test::SetOf(++version, {{"web", 1}}),
+                                fixture.now);
+      fixture.now += each.removed;
+      fixture.router->SetRoutes(test::SetOf(++version, {{"web", 2}}),
+                                fixture.now);
+    }
+    fixture.router->SetRoutes(test::SetOf(++version, {{"shop", 1}}),
+                              fixture.now);
+    fixture.now += each.after;
+    const auto decision = fixture.Open(1, each.copy);
+    const endpoint expected = each.placed ? test::DaemonAt(7) : endpoint();
+    cr_assert(To(decision) == expected, "%s", each.name);
+  }
+}
+
 }  // namespace
 }  // namespace tamaracklatch
--- a/tests/steering/steering_header_test.cc
+++ b/tests/steering/steering_header_test.cc
@@ -31,6 +31,8 @@
   header.set_version = *rc::gen::arbitrary<std::uint64_t>();
   header.sender_load = *rc::gen::arbitrary<std::uint32_t>();
   header.possible_owners = *rc::gen::arbitrary<std::uint8_t>();
+  if (header.kind == steering_kind::kSegment)
+    header.receiver = *rc::gen::arbitrary<std::uint32_t>();
   if (header.kind == steering_kind::kOwner)
     header.target_start = *rc::gen::arbitrary<std::uint64_t>();
   header.service_count = static_cast<std::uint8_t>(
@@ -95,9 +97,9 @@
   };
   constexpr row kRows[] = {
       {0, '\xa5', result_code::kEnvelopeMalformed},
-      {1, '\x81', result_code::kEnvelopeVersion},
-      {1, '\x40', result_code::kEnvelopeMalformed},   // no kind
-      {1, '\x45', result_code::kEnvelopeMalformed},   // unknown kind
+      {1, '\x41', result_code::kEnvelopeVersion},
+      {1, '\x80', result_code::kEnvelopeMalformed},   // no kind
+      {1, '\x85', result_code::kEnvelopeMalformed},   // unknown kind
       {29, '\x00', result_code::kEnvelopeMalformed},  // no service
       {29, '\x05', result_code::kEnvelopeMalformed},  // too many services
       {30, '\x19', result_code::kEnvelopeMalformed},  // too many visits
