Bound JSON from outside, and refuse odd heartbeats alone

Ruled out: port out of range and numbers that no type holds were refused before (rows now say so); the parser itself does not recurse, and a nested document of 64 KB fits the stack. Only the odd one is refused (400, event 2500), the target's own reports go on.

--- a/include/tamaracklatch/membership/target_reports.h
+++ b/include/tamaracklatch/membership/target_reports.h
@@ -48,9 +48,12 @@
   target_reports(const target_reports_settings& settings, time_point now);
 
   // Takes a report. Returns kOk; kHeartbeatForeign for another service or
-  // endpoint; or kHeartbeatStale for an earlier start, a start that has ended
-  // or a sequence that is not newer. Only kOk changes the status.
-  result_code OnReport(const target_report& report, time_point now);
+  // endpoint; kHeartbeatMalformed for a start far ahead of the clock, which
+  // would make all later reports stale; or kHeartbeatStale for an earlier
+  // start, a start that has ended or a sequence that is not newer. Only kOk
+  // changes the status.
+  result_code OnReport(const target_report& report, time_point now,
+                       wall_time wall_now);
 
   // The target with this id ends and is absent at once. Returns kOk, or
   // kHeartbeatStale for any other id than that of the last accepted report.
--- a/src/core/checked_json.cc
+++ b/src/core/checked_json.cc
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <numeric>
 
+#include "core/json_text.h"
+
 namespace tamaracklatch {
 namespace {
 
@@ -44,14 +46,17 @@
 
 std::optional<nlohmann::json> ParseJsonWithComments(
     std::string_view text, std::vector<failure>* failures) {
-  try {
-    return nlohmann::json::parse(text, nullptr, true, true);
-  } catch (const nlohmann::json::parse_error& error) {
+  std::size_t position = 0;
+  auto parsed = ParseJson(text, json_comments::kIgnored, &position);
+  if (!parsed) {
     failures->push_back(
         {result_code::kDocumentSyntax,
-         fmt::format("byte {}: not JSON with comments", error.byte)});
+         position == 0
+             ? fmt::format("nested more than {} deep, or a number is too large",
+                           kMaxJsonDepth)
+             : fmt::format("byte {}: not JSON with comments", position)});
   }
-  return std::nullopt;
+  return parsed;
 }
 
 checked_json::checked_json(const nlohmann::json& value, std::string path,
--- a/src/daemon/operator_commands.cc
+++ b/src/daemon/operator_commands.cc
@@ -11,6 +11,7 @@
 #include <sstream>
 #include <thread>
 
+#include "core/json_text.h"
 #include "daemon/http_client.h"
 #include "tamaracklatch/control/document_set_text.h"
 #include "tamaracklatch/document/service_document.h"
@@ -96,8 +97,9 @@
         client->Send({"GET", ServicePath(service), query, {}, ""}, &why);
     if (!answer) break;
     last = answer->body;
-    const auto state = nlohmann::json::parse(last, nullptr, false);
-    if (state.is_object() && state.value("in_force_everywhere", false)) {
+    const auto state = ParseJsonObject(last);
+    if (state && state->value("in_force_everywhere", nlohmann::json()) ==
+                     nlohmann::json(true)) {
       fmt::print(out, "{}\n", last);
       return kExitDone;
     }
@@ -139,9 +141,9 @@
       client.Send({"PUT", ServicePath(document->service), "", {}, *text}, &why);
   const int exit_code = PrintAnswer(answer, why, out, errors);
   if (exit_code != kExitDone || !options.wait) return exit_code;
-  const auto accepted = nlohmann::json::parse(answer->body, nullptr, false);
+  const auto accepted = ParseJsonObject(answer->body);
   const std::uint64_t revision =
-      accepted.is_object() ? accepted.value("revision", std::uint64_t{0}) : 0;
+      accepted ? WholeNumberAt(*accepted, "revision").value_or(0) : 0;
   return WaitInForce(&client, document->service, revision, out, errors);
 }
 
--- a/src/daemon/request_front.cc
+++ b/src/daemon/request_front.cc
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "daemon/peer_answers.h"
 #include "tamaracklatch/core/hash.h"
 
 namespace tamaracklatch {
@@ -591,10 +592,8 @@
     question.method = "POST";
     question.fields.push_back({kProofField, Proof(kRevisionPath)});
     Ask(*peer, question, kRevisionPath, [this, id](const std::string& body) {
-      const auto answer = nlohmann::json::parse(body, nullptr, false);
-      if (!answer.is_object() || !answer["at"].is_number_unsigned()) return;
-      keys_.OnAcknowledged(id, {answer["at"].get<std::uint64_t>()},
-                           frame_->WallNow());
+      if (const auto at = ReadAcknowledgedRevision(body))
+        keys_.OnAcknowledged(id, *at, frame_->WallNow());
     });
   }
 }
@@ -612,15 +611,8 @@
   question.method = "POST";
   question.body = ToString(action.key);
   question.fields.push_back({kProofField, Proof(kKeysPath + question.body)});
-  Ask(*peer, question, kKeysPath, [reply](const std::string& body) {
-    const auto answer = nlohmann::json::parse(body, nullptr, false);
-    if (!answer.is_object() || !answer["knowledge"].is_number_unsigned() ||
-        answer["knowledge"].get<std::uint64_t>() > 2) {
-      reply(std::nullopt);
-      return;
-    }
-    reply(static_cast<key_knowledge>(answer["knowledge"].get<unsigned>()));
-  });
+  Ask(*peer, question, kKeysPath,
+      [reply](const std::string& body) { reply(ReadKeyKnowledge(body)); });
 }
 
 void request_front::Ask(const target_record& peer, const http_request& question,
--- a/src/daemon/steering_target.cc
+++ b/src/daemon/steering_target.cc
@@ -85,7 +85,8 @@
 }
 
 result_code steering_target::OnReport(const target_report& report) {
-  const result_code code = reports_.OnReport(report, frame_.Now());
+  const result_code code =
+      reports_.OnReport(report, frame_.Now(), frame_.WallNow());
   if (code != result_code::kOk) {
     Refuse(code,
            fmt::format("{} of {} at {}, start {}, sequence {}", report.id,
--- a/src/membership/target_reports.cc
+++ b/src/membership/target_reports.cc
@@ -8,6 +8,16 @@
 // its beginning.
 constexpr std::uint64_t kMaxFirstSequence = 1;
 
+// The most by which the clocks of a target and of its daemon may differ.
+constexpr std::chrono::hours kMaxClockDifference{24};
+
+bool IsFarAhead(std::uint64_t start, wall_time wall_now) {
+  const auto latest = std::chrono::duration_cast<std::chrono::milliseconds>(
+      wall_now.time_since_epoch() + kMaxClockDifference);
+  return latest.count() < 0 ||
+         start > static_cast<std::uint64_t>(latest.count());
+}
+
 }  // namespace
 
 target_reports::target_reports(const target_reports_settings& settings,
@@ -17,9 +27,11 @@
 }
 
 result_code target_reports::OnReport(const target_report& report,
-                                     time_point now) {
+                                     time_point now, wall_time wall_now) {
   if (report.service != settings_.service || report.where != settings_.where)
     return result_code::kHeartbeatForeign;
+  if (IsFarAhead(report.start, wall_now))
+    return result_code::kHeartbeatMalformed;
   if (report.start < status_.target_start) return result_code::kHeartbeatStale;
   const bool new_start = report.start > status_.target_start;
   if (!new_start && (ended_ || report.sequence <= sequence_))
--- a/src/timeline/log_merge.cc
+++ b/src/timeline/log_merge.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "core/json_text.h"
 #include "tamaracklatch/timeline/timeline_entry.h"
 #include "timeline/json_fields.h"
 
@@ -81,8 +82,9 @@
   const std::size_t begin = line.find('{');
   if (begin == std::string_view::npos)
     return Malformed("not a JSON object", last_failure);
-  const auto json = nlohmann::json::parse(line.substr(begin), nullptr, false);
-  if (!json.is_object()) return Malformed("not a JSON object", last_failure);
+  const auto parsed = ParseJsonObject(line.substr(begin));
+  if (!parsed) return Malformed("not a JSON object", last_failure);
+  const nlohmann::json& json = *parsed;
   const auto wall = ParseWallTime(TextAt(json, "time"), nullptr);
   const std::uint64_t number = NumberAt(json, "number");
   log_entry entry;
--- a/src/timeline/timeline_entry.cc
+++ b/src/timeline/timeline_entry.cc
@@ -8,6 +8,7 @@
 #include <ctime>
 #include <nlohmann/json.hpp>
 
+#include "core/json_text.h"
 #include "timeline/json_fields.h"
 
 namespace tamaracklatch {
@@ -117,8 +118,9 @@
                                             failure* last_failure) {
   if (line.size() > kMaxTimelineLine)
     return Malformed("the line is too long", last_failure);
-  const auto json = nlohmann::json::parse(line, nullptr, false);
-  if (!json.is_object()) return Malformed("not a JSON object", last_failure);
+  const auto parsed = ParseJsonObject(line);
+  if (!parsed) return Malformed("not a JSON object", last_failure);
+  const nlohmann::json& json = *parsed;
   timeline_entry entry;
   entry.stamp.value = NumberAt(json, "stamp");
   entry.source = {TextAt(json, "process"), TextAt(json, "vm"),
--- a/tests/membership/target_reports_test.cc
+++ b/tests/membership/target_reports_test.cc
@@ -14,6 +14,9 @@
 const target_reports_settings kSettings{"desk", kTarget, milliseconds(2000),
                                         milliseconds(1500)};
 
+// The clock of the daemon's VM.
+constexpr wall_time kWall{std::chrono::seconds(1700000000)};
+
 target_report Report(std::uint64_t start, std::uint64_t sequence,
                      bool draining = false) {
   target_report report;
@@ -54,33 +57,34 @@
   };
   target_reports reports(kSettings, time_point());
   for (const report_row& row : rows) {
-    cr_expect(reports.OnReport(row.report, time_point()) == row.code);
+    cr_expect(reports.OnReport(row.report, time_point(), kWall) == row.code);
     cr_expect(reports.status().condition == row.condition);
   }
 }
 
 Test(target_reports, an_end_is_final_for_its_start) {
   target_reports reports(kSettings, time_point());
-  reports.OnReport(Report(5, 1), time_point());
+  reports.OnReport(Report(5, 1), time_point(), kWall);
   cr_expect(reports.OnEnd("i-4") == result_code::kHeartbeatStale);
   cr_expect(reports.OnEnd("i-5") == result_code::kOk);
   cr_expect(reports.ended());
-  cr_expect(reports.OnReport(Report(5, 2), time_point()) ==
+  cr_expect(reports.OnReport(Report(5, 2), time_point(), kWall) ==
             result_code::kHeartbeatStale);
   cr_expect(reports.status().condition == target_condition::kAbsent);
-  cr_expect(reports.OnReport(Report(6, 1), time_point()) == result_code::kOk);
+  cr_expect(reports.OnReport(Report(6, 1), time_point(), kWall) ==
+            result_code::kOk);
   cr_expect(!reports.ended());
 }
 
 Test(target_reports, silence_makes_absent_until_the_next_report) {
   target_reports reports(kSettings, time_point());
-  reports.OnReport(Report(5, 1), time_point());
+  reports.OnReport(Report(5, 1), time_point(), kWall);
   cr_expect(!reports.Tick(time_point(milliseconds(1999))));
   cr_expect(reports.Tick(time_point(milliseconds(2000))));
   cr_expect(reports.status().condition == target_condition::kAbsent);
   cr_expect(!reports.ended());
   cr_expect(!reports.Tick(time_point(milliseconds(2001))));
-  reports.OnReport(Report(5, 2), time_point(milliseconds(2500)));
+  reports.OnReport(Report(5, 2), time_point(milliseconds(2500)), kWall);
   cr_expect(reports.status().condition == target_condition::kReady);
 }
 
@@ -97,8 +101,8 @@
   cr_expect(reports.Tick(time_point(milliseconds(1500))));
   cr_expect(reports.status().condition == target_condition::kAbsent);
   cr_expect(reports.ended());
-  cr_expect(reports.OnReport(Report(5, 7), time_point(milliseconds(1501))) ==
-            result_code::kOk);
+  cr_expect(reports.OnReport(Report(5, 7), time_point(milliseconds(1501)),
+                             kWall) == result_code::kOk);
   cr_expect(!reports.ended());
   cr_expect(!reports.saw_start());
 }
@@ -107,10 +111,34 @@
   for (const start_row& row :
        std::vector<start_row>{{0, true}, {1, true}, {2, false}, {40, false}}) {
     target_reports reports(kSettings, time_point());
-    reports.OnReport(Report(5, row.sequence), time_point());
+    reports.OnReport(Report(5, row.sequence), time_point(), kWall);
     cr_expect(reports.saw_start() == row.saw_start);
   }
 }
 
+Test(target_reports, an_impossible_start_leaves_the_true_one_in_use) {
+  constexpr std::uint64_t kStart = 1700000000000;
+  constexpr std::uint64_t kDay = 86400000;
+  struct row {
+    std::uint64_t start;
+    result_code code;
+  };
+  constexpr row kRows[] = {
+      {UINT64_MAX, result_code::kHeartbeatMalformed},
+      {kStart + kDay + 1, result_code::kHeartbeatMalformed},
+      {kStart + kDay, result_code::kOk},
+  };
+  for (const row& each : kRows) {
+    target_reports reports(kSettings, time_point());
+    reports.OnReport(Report(kStart, 1), time_point(), kWall);
+    cr_expect(reports.OnReport(Report(each.start, 2), time_point(), kWall) ==
+              each.code);
+    const result_code next =
+        reports.OnReport(Report(kStart, 3), time_point(), kWall);
+    cr_expect((next == result_code::kOk) ==
+              (each.code == result_code::kHeartbeatMalformed));
+  }
+}
+
 }  // namespace
 }  // namespace tamaracklatch
--- a/tests/platform/calls_test.cc
+++ b/tests/platform/calls_test.cc
@@ -118,10 +118,39 @@
     {R"({"service":"a","address":"10.0.0.9:80","maxConcurrency":4,
         "state":"ready","coldRemainingMs":0,"seq":4})",
      false},
+    {R"({"service":"a","address":"10.0.0.9:70000","maxConcurrency":4,
+        "state":"ready","coldRemainingMs":0,"seq":4,"born":1})",
+     false},
+    {R"({"service":"a","address":"10.0.0.9:80","maxConcurrency":4,
+        "state":"ready","coldRemainingMs":0,"seq":18446744073709551615,
+        "born":1})",
+     false},
+    {R"({"service":"a","address":"10.0.0.9:80","maxConcurrency":4,
+        "state":"ready","coldRemainingMs":0,"seq":4,"born":1e999})",
+     false},
+    {R"({"service":"a","address":"10.0.0.9:80","maxConcurrency":1e30,
+        "state":"ready","coldRemainingMs":0,"seq":4,"born":1})",
+     false},
     {"\xff\xfe", false},
     {"", false},
 };
 
+// Whole but for a field that nobody reads.
+std::string NestedBeat(std::size_t depth) {
+  return R"({"service":"a","address":"10.0.0.9:80","maxConcurrency":4,
+      "state":"ready","coldRemainingMs":0,"seq":4,"born":1,"other":)" +
+         std::string(depth, '[') + std::string(depth, ']') + "}";
+}
+
+Test(target_calls, refuses_a_heartbeat_nested_too_deeply) {
+  cr_expect(ReadHeartbeat("i-1", NestedBeat(20), nullptr).has_value());
+  for (const std::size_t depth : {40U, 1000U, 500000U}) {
+    failure why;
+    cr_expect(!ReadHeartbeat("i-1", NestedBeat(depth), &why));
+    cr_expect(why.code == result_code::kHeartbeatMalformed);
+  }
+}
+
 Test(target_calls, reads_whole_heartbeats_only) {
   for (const beat_row& row : kBeats) {
     failure why;
