Register flows far from the head of their search order

Cause: a header has room for 24 visits, and the large site has 163 to 212 possible owners of a flow. Change: an owner outside the head of a flow's order registers it there; searches that can't visit all visit the head first; a daemon with a registration passes the segment to the owner. A registration changes the order of visits, nothing else. Installations with at most 24 targets are left as they were.

--- a/include/tamaracklatch/steering/segment_owner.h
+++ b/include/tamaracklatch/steering/segment_owner.h
@@ -29,6 +29,7 @@
 
 class delivery_cache;
 class owned_flows;
+class owner_registry;
 class recent_flows;
 class target_directory;
 struct owned_flow;
@@ -78,10 +79,11 @@
   std::string bytes;
 };
 
-// Send a hint to the balancer.
-struct notify_balancer {
+// Send the header alone: a hint to a balancer, or a registration to another
+// target daemon.
+struct send_notice {
   endpoint to;
-  steering_header header;  // kOwner, kUnknown or kRefused
+  steering_header header;  // of any kind but kSegment
 };
 
 // Drop the segment and count the reason.
@@ -90,7 +92,7 @@
 };
 
 using segment_action =
-    std::variant<deliver_segment, pass_segment, answer_caller, notify_balancer,
+    std::variant<deliver_segment, pass_segment, answer_caller, send_notice,
                  discard_segment>;
 
 // Tracks the flows of one target. Used by the target daemon from one thread.
@@ -106,6 +108,8 @@
   // A segment received from a balancer or another target daemon.
   void OnSteered(const steering_header& header, const segment& received,
                  time_point now, std::vector<segment_action>* actions);
+  // A registration received from another target daemon.
+  void OnRegistration(const steering_header& header, time_point now);
   // A segment received from the target: its answer, or a returned delivery.
   void OnTargetSegment(const segment& received, time_point now,
                        std::vector<segment_action>* actions);
@@ -123,8 +127,8 @@
   // target must be known to all nodes. Without it no search ends with a reset.
   void SetRosterConfirmed(bool confirmed) { roster_confirmed_ = confirmed; }
 
-  // Updates the load and removes expired flows. Call several times a second.
-  // Appends no actions.
+  // Updates the load, removes expired flows and appends the registrations that
+  // are due. Call several times a second.
   void Tick(time_point now, std::vector<segment_action>* actions);
 
   // The smoothed load of the target in 1/256 of a slot, for its node record.
@@ -151,6 +155,11 @@
   void EndSearch(const steering_header& header, const segment& received,
                  result_code reason, time_point now, actions* out);
   bool IsConfirmedUnowned(const steering_header& header) const;
+  std::uint32_t FindRegisteredOwner(const steering_header& header,
+                                    time_point now) const;
+  void RegisterNewFlow(owned_flow* flow, time_point now, actions* out);
+  void RegisterFlow(owned_flow* flow, time_point now, actions* out);
+  void RegisterDueFlows(time_point now, actions* out);
   bool RecordVisit(steering_header* header, bool is_sure, time_point now);
   std::uint32_t ChooseLeastLoaded(const steering_header& header);
   result_code CheckAdmission(time_point now) const;
@@ -192,12 +201,14 @@
   std::unique_ptr<target_directory> targets_;
   std::unique_ptr<owned_flows> flows_;
   std::unique_ptr<delivery_cache> deliveries_;
+  std::unique_ptr<owner_registry> registry_;
   std::unique_ptr<recent_flows> reported_searches_;  // kSearchStarted
   std::unique_ptr<recent_flows> reported_endings_;   // failed searches, resets
   // Flows whose first copy of the opening was passed on and may be refused by
   // another daemon. No later copy is accepted here, since a reset for the first
   // copy could reach the caller of an open flow.
   std::unique_ptr<recent_flows> passed_openings_;
+  time_point registrations_checked_;  // last RegisterDueFlows
   time_point last_sweep_;
   std::vector<std::uint32_t> ranked_;  // buffer of Rank
   segment_owner_counters counters_;
--- a/include/tamaracklatch/steering/steering_header.h
+++ b/include/tamaracklatch/steering/steering_header.h
@@ -31,6 +31,9 @@
   kOwner = 2,    // to a balancer: the sender owns the flow
   kUnknown = 3,  // to a balancer: none of the visited targets owns the flow
   kRefused = 4,  // to a balancer: the opening was answered with a reset
+  // To a target daemon that a search visits early: the daemon at `balancer`
+  // owns the flow.
+  kRegistration = 5,
 };
 
 // Written by balancers, extended by each target daemon that passes the segment
@@ -46,8 +49,8 @@
   // A visited target daemon could not determine whether its target holds the
   // flow, so no later daemon may conclude that the flow is not open.
   bool uncertain = false;
-  std::uint64_t flow = 0;         // HashFlow of the key
-  endpoint balancer;              // receives the hints
+  std::uint64_t flow = 0;  // HashFlow of the key
+  endpoint balancer;       // receives the hints
   // kSegment: NodeTag of the start of the daemon that the sender knows at the
   // receiving endpoint. A later start may receive the segment.
   std::uint32_t receiver = 0;
--- a/src/daemon/steering_target.cc
+++ b/src/daemon/steering_target.cc
@@ -161,6 +161,8 @@
   std::string_view rest;
   const auto header = ReadSteeringHeader(bytes, &rest, &why);
   if (!header) return CountDropped(why.code);
+  if (header->kind == steering_kind::kRegistration)
+    return owner_.OnRegistration(*header, frame_.Now());
   const auto what = codec_->Decode(rest, false, &why);
   if (!what) return CountDropped(why.code);
   const time_point now = frame_.Now();
@@ -201,7 +203,7 @@
   outbound_.Send({action.key.source, settings_.caller_port}, action.bytes);
 }
 
-void steering_target::Do(const notify_balancer& action) {
+void steering_target::Do(const send_notice& action) {
   buffer_.clear();
   AppendSteeringHeader(action.header, &buffer_);
   roster_.Send(action.to, buffer_);
@@ -237,6 +239,12 @@
   counts.SetTotal("tamaracklatch_openings_taken_total",
                   "Flows whose opening was handed to the target.",
                   total(counted.taken));
+  counts.SetTotal("tamaracklatch_registrations_sent_total",
+                  "Registrations of own flows at other target daemons.",
+                  total(counted.registrations_sent));
+  counts.SetTotal("tamaracklatch_segments_located_total",
+                  "Segments passed on to the registered owner of their flow.",
+                  total(counted.located));
   counts.SetTotal("tamaracklatch_flows_claimed_total",
                   "Flows whose caller took the target's answer.",
                   total(counted.claimed));
--- a/src/daemon/steering_target.h
+++ b/src/daemon/steering_target.h
@@ -65,7 +65,7 @@
   void Do(const deliver_segment& action);
   void Do(const pass_segment& action);
   void Do(const answer_caller& action);
-  void Do(const notify_balancer& action);
+  void Do(const send_notice& action);
   void Do(const discard_segment& action);
   void CountDropped(result_code code);
   void Export();
--- a/src/steering/owned_flows.h
+++ b/src/steering/owned_flows.h
@@ -2,10 +2,12 @@
 // cause. Used by segment_owner.
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <unordered_map>
 #include <vector>
 
+#include "steering/target_directory.h"
 #include "tamaracklatch/core/time.h"
 #include "tamaracklatch/flow/packet.h"
 
@@ -39,6 +41,11 @@
   std::uint64_t hinted_balancer = 0;  // hash of the last one sent an owner hint
   time_point opened;
   time_point last_segment;  // of either end
+  // The last check whether it must be registered elsewhere, and by target_index
+  // where it then was.
+  time_point registered;
+  std::array<target_index, kSearchHead> registrars{
+      kNoTargetIndex, kNoTargetIndex, kNoTargetIndex};
 
   bool IsOpen() const {
     return phase == flow_phase::kPending || phase == flow_phase::kClaimed;
@@ -79,6 +86,18 @@
   std::vector<owned_flow> ListExpired(const flow_limits& limits,
                                       time_point now) const;
 
+  // The first flows, at most `most`, for which `predicate` is true. Valid until
+  // a flow is added or erased.
+  template <typename Predicate>
+  std::vector<owned_flow*> ListIf(Predicate predicate, std::size_t most) {
+    std::vector<owned_flow*> listed;
+    for (auto& [hash, flow] : flows_) {
+      if (listed.size() == most) break;
+      if (predicate(flow)) listed.push_back(&flow);
+    }
+    return listed;
+  }
+
   // Advances the smoothed load to `now`. Call before each change of the flows,
   // since the current counts apply to the whole time since the last call.
   void UpdateLoad(time_point now);
--- a/src/steering/segment_owner.cc
+++ b/src/steering/segment_owner.cc
@@ -10,6 +10,7 @@
 
 #include "steering/delivery_cache.h"
 #include "steering/owned_flows.h"
+#include "steering/owner_registry.h"
 #include "steering/recent_flows.h"
 #include "steering/target_directory.h"
 
@@ -70,6 +71,7 @@
                                                   settings.max_flow_age)),
       flows_(std::make_unique<owned_flows>(settings.max_flows, now)),
       deliveries_(std::make_unique<delivery_cache>()),
+      registry_(std::make_unique<owner_registry>(settings.max_flows)),
       reported_searches_(std::make_unique<recent_flows>(kReportedFlows)),
       reported_endings_(std::make_unique<recent_flows>(kReportedFlows)),
       passed_openings_(std::make_unique<recent_flows>(kPassedFlows)),
@@ -134,8 +136,11 @@
     }
     return;
   }
-  if (flow->phase == flow_phase::kPending && received.tcp.ack)
+  if (flow->phase == flow_phase::kPending && received.tcp.ack) {
     EvaluateClaim(header, received, flow, now);
+    if (flow->phase == flow_phase::kClaimed)
+      RegisterNewFlow(flow, now, actions);
+  }
   if (flow->phase == flow_phase::kDropped) {
     Search(header, received, true, now, actions);
     return;
@@ -223,6 +228,7 @@
   }
   ++counters_.taken;
   counters_.opening_visits.Add(header.visit_count);
+  RegisterNewFlow(flow, now, actions);
   Deliver(header, received, flow, now, actions);
 }
 
@@ -448,9 +454,13 @@
                            std::vector<segment_action>* actions) {
   const bool is_first = header.visit_count == 0;
   const bool visited = RecordVisit(&header, is_sure, now);
-  const target_index next =
-      visited ? targets_->NextOwner(header, settings_.self, now)
-              : kNoTargetIndex;
+  target_index next =
+      visited ? FindRegisteredOwner(header, now) : kNoTargetIndex;
+  if (next != kNoTargetIndex) {
+    ++counters_.located;
+  } else if (visited) {
+    next = targets_->NextOwner(header, settings_.self, now);
+  }
   if (next == kNoTargetIndex) {
     EndSearch(header, received, result_code::kSearchEnded, now, actions);
     return;
@@ -556,7 +566,7 @@
   hint.balancer = header.balancer;
   if (last_target_report_ - flow->opened >= kStartReportDelay)
     hint.target_start = target_start_;
-  actions->push_back(notify_balancer{header.balancer, hint});
+  actions->push_back(send_notice{header.balancer, hint});
 }
 
 // Informs the balancer that the visited daemons don't own the flow, or that its
@@ -572,7 +582,7 @@
   hint.balancer = header.balancer;
   hint.visit_count = header.visit_count;
   hint.visits = header.visits;
-  actions->push_back(notify_balancer{header.balancer, hint});
+  actions->push_back(send_notice{header.balancer, hint});
 }
 
 void segment_owner::Reset(const segment& received, result_code reason,
@@ -615,10 +625,12 @@
   listener_->OnEvent(reported);
 }
 
-void segment_owner::Tick(time_point now, std::vector<segment_action>*) {
+void segment_owner::Tick(time_point now, std::vector<segment_action>* actions) {
   flows_->UpdateLoad(now);
+  RegisterDueFlows(now, actions);
   if (now - last_sweep_ < kSweepInterval) return;
   last_sweep_ = now;
+  registry_->Sweep(now);
   flow_limits limits;
   limits.age = settings_.max_flow_age;
   limits.idle = settings_.max_flow_age;
--- a/src/steering/segment_router.cc
+++ b/src/steering/segment_router.cc
@@ -445,9 +445,12 @@
   ++counters_.searched;
   header.possible_owners =
       static_cast<std::uint8_t>(std::min<std::size_t>(search.size(), 255));
-  // If a search can't visit all owners, the next one begins at its last visit.
+  // Where a search can't visit all owners, the next one begins at its last
+  // visit.
   const std::size_t stride =
-      search.alive.size() > kMaxSteeringVisits ? kMaxSteeringVisits - 1 : 1;
+      targets_->FitsSearch()
+          ? 1
+          : kMaxSteeringVisits - 1 - kSearchHead * header.service_count;
   const target_index first =
       search.alive.empty()
           ? targets_->NextOwner(header, endpoint(), now)
--- a/src/steering/steering_header.cc
+++ b/src/steering/steering_header.cc
@@ -136,7 +136,7 @@
   const bool needs_service = header.kind == steering_kind::kSegment;
   if (reader.ok() &&
       (header.kind < steering_kind::kSegment ||
-       header.kind > steering_kind::kRefused ||
+       header.kind > steering_kind::kRegistration ||
        header.service_count > kMaxSteeringServices ||
        header.visit_count > kMaxSteeringVisits || (v6 && address.IsV4()) ||
        (needs_service && header.service_count == 0))) {
--- a/src/steering/target_directory.cc
+++ b/src/steering/target_directory.cc
@@ -106,6 +106,17 @@
   return tags;
 }
 
+void target_directory::RankOwners(std::uint64_t flow, std::uint32_t service,
+                                  std::size_t most, time_point now,
+                                  std::vector<target_index>* out) {
+  Rank(
+      flow, service, most,
+      [&](const directory_target& target) {
+        return target.liveness == node_liveness::kAlive && MayOwn(target, now);
+      },
+      out);
+}
+
 const owner_search& target_directory::ListOwners(const steering_header& header,
                                                  time_point now) {
   search_.alive.clear();
@@ -131,6 +142,19 @@
   return search_;
 }
 
+std::size_t target_directory::FirstStep(const steering_header& header,
+                                        const endpoint& self) const {
+  const std::vector<target_index>& alive = search_.alive;
+  for (std::size_t at = 0; at < alive.size(); ++at) {
+    const directory_target& target = targets_[alive[at]];
+    const bool begins = !FitsSearch() && header.visit_count > 0
+                            ? target.node == header.visits[0]
+                            : target.where == self;
+    if (begins) return at + 1;
+  }
+  return 0;
+}
+
 target_index target_directory::NextOwner(const steering_header& header,
                                          const endpoint& self,
                                          time_point now) const {
@@ -139,10 +163,13 @@
            header.HasVisited(targets_[index].node);
   };
   const std::vector<target_index>& alive = search_.alive;
-  std::size_t start = 0;
-  for (std::size_t at = 0; at < alive.size(); ++at) {
-    if (targets_[alive[at]].where == self) start = at + 1;
+  if (!FitsSearch()) {
+    const std::size_t head = kSearchHead * header.service_count;
+    for (std::size_t at = 0; at < head; ++at) {
+      if (!visited(alive[at])) return alive[at];
+    }
   }
+  const std::size_t start = FirstStep(header, self);
   for (std::size_t step = 0; step < alive.size(); ++step) {
     const target_index index = alive[(start + step) % alive.size()];
     if (!visited(index)) return index;
--- a/src/steering/target_directory.h
+++ b/src/steering/target_directory.h
@@ -16,6 +16,11 @@
 
 namespace tamaracklatch {
 
+// The head of a search order: this many first possible owners of each service.
+// Flows are registered there, so a search that can't visit all possible owners
+// visits the head before others.
+inline constexpr std::size_t kSearchHead = 3;
+
 // Index of a target in the directory. The index of an endpoint never changes.
 using target_index = std::uint32_t;
 inline constexpr target_index kNoTargetIndex = ~target_index{0};
@@ -88,6 +93,11 @@
   void Rank(std::uint64_t flow, std::uint32_t service, std::size_t most,
             Predicate accepts, std::vector<target_index>* out);
 
+  // Sets `out` to the first `most` possible owners, of those with an alive
+  // daemon, of a flow that opened at the service; in its search order.
+  void RankOwners(std::uint64_t flow, std::uint32_t service, std::size_t most,
+                  time_point now, std::vector<target_index>* out);
+
   // Tags of the services of all known targets, in ascending order.
   std::vector<std::uint32_t> Services() const;
 
@@ -95,10 +105,14 @@
   // services. The result is valid until the next call.
   const owner_search& ListOwners(const steering_header& header, time_point now);
 
+  // After ListOwners: whether a search can visit all alive owners.
+  bool FitsSearch() const { return search_.alive.size() <= kMaxSteeringVisits; }
+
   // After ListOwners: the next unvisited alive owner after `self` in cyclic
   // search order, or from its start if `self` is not among them; then an
   // unvisited silent one, beginning at one that rotates with `now`.
-  // kNoTargetIndex if all were visited.
+  // kNoTargetIndex if all were visited. Unless FitsSearch(): first those of the
+  // head, then those after the first visited one.
   target_index NextOwner(const steering_header& header, const endpoint& self,
                          time_point now) const;
 
@@ -125,6 +139,9 @@
 
   // Whether the target may hold flows, so that a search must visit it.
   bool MayOwn(const directory_target& target, time_point now) const;
+  // The index in the list of alive owners at which NextOwner begins.
+  std::size_t FirstStep(const steering_header& header,
+                        const endpoint& self) const;
   void RemoveFromService(const directory_target& target, target_index index);
 
   zone_name zone_;
--- a/tests/steering/schedule_test.cc
+++ b/tests/steering/schedule_test.cc
@@ -57,5 +57,44 @@
   cr_assert(sum.passed > 100, "%zu", sum.passed);
 }
 
+// Flows open while only a few of the targets are known, so that their owners
+// stand far down the search orders of later, and the balancers change.
+struct many_targets_row {
+  std::size_t target_vms;
+  double fault_rate;
+};
+
+Test(schedule, finds_owners_among_many_targets_in_few_visits) {
+  constexpr many_targets_row kRows[] = {{60, 0.01}, {120, 0.01}, {60, 4.0}};
+  std::size_t located = 0;
+  for (const many_targets_row& row : kRows) {
+    for (std::uint64_t seed = 1; seed <= 2; ++seed) {
+      simulation_settings settings;
+      settings.seed = seed;
+      settings.balancers = 4;
+      settings.target_vms = row.target_vms;
+      settings.flows = 100;
+      settings.start_spread = std::chrono::seconds(8);
+      settings.rotation_interval = std::chrono::milliseconds(1500);
+      settings.fault_phase = std::chrono::seconds(14);
+      settings.fault_rate = row.fault_rate;
+      if (row.fault_rate < 1.0) settings.lost = settings.delayed = 0.0;
+      steering_simulation simulation(settings);
+      const std::string failed = simulation.Run();
+      cr_expect(failed.empty(), "%zu targets, seed %lu: %s", row.target_vms,
+                seed, failed.c_str());
+      // Without faults: the first daemon, the head of the order, and a daemon
+      // to which an older view led.
+      const auto& counts = simulation.counts();
+      located += counts.located;
+      if (row.fault_rate < 1.0) {
+        cr_expect(counts.longest_lookup <= 8, "%zu targets, seed %lu: %zu",
+                  row.target_vms, seed, counts.longest_lookup);
+      }
+    }
+  }
+  cr_expect(located > 20, "%zu", located);
+}
+
 }  // namespace
 }  // namespace tamaracklatch
--- a/tests/steering/segment_owner_test.cc
+++ b/tests/steering/segment_owner_test.cc
@@ -138,11 +138,11 @@
   fixture.Steer(SegmentOf(FlowOf(1), kAnswerSequence + 1));
   cr_assert(fixture.listener.count == 1);
   cr_assert(fixture.FindAction<deliver_segment>() != nullptr);
-  const auto* notified = fixture.FindAction<notify_balancer>();
+  const auto* notified = fixture.FindAction<send_notice>();
   cr_assert(notified != nullptr && notified->to == BalancerAt(1));
   cr_assert(notified->header.kind == steering_kind::kOwner);
   fixture.Request(1);
-  cr_assert(fixture.FindAction<notify_balancer>() == nullptr);
+  cr_assert(fixture.FindAction<send_notice>() == nullptr);
 }
 
 Test(owner, repeats_the_owner_hint_for_other_balancers_and_after_a_search) {
@@ -151,17 +151,17 @@
   steering_header header = owner_fixture::Header(FlowOf(1));
   header.balancer = BalancerAt(2);
   fixture.Steer(header, SegmentOf(FlowOf(1), kAnswerSequence + 1, "data"));
-  cr_assert(fixture.FindAction<notify_balancer>() != nullptr);
+  cr_assert(fixture.FindAction<send_notice>() != nullptr);
   header.AddVisit(7);
   fixture.Steer(header, SegmentOf(FlowOf(1), kAnswerSequence + 1, "data"));
-  cr_assert(fixture.FindAction<notify_balancer>() != nullptr);
+  cr_assert(fixture.FindAction<send_notice>() != nullptr);
   // The hint names the start of the target only after a report well after the
   // opening.
-  cr_assert(fixture.FindAction<notify_balancer>()->header.target_start == 0);
+  cr_assert(fixture.FindAction<send_notice>()->header.target_start == 0);
   fixture.now += seconds(2);
   fixture.owner->SetTargetStatus(fixture.status, fixture.now);
   fixture.Steer(header, SegmentOf(FlowOf(1), kAnswerSequence + 1, "data"));
-  cr_assert(fixture.FindAction<notify_balancer>()->header.target_start == 100);
+  cr_assert(fixture.FindAction<send_notice>()->header.target_start == 100);
 }
 
 Test(owner, drops_its_claim_when_another_answer_was_taken) {
@@ -314,7 +314,7 @@
     header.possible_owners = each.possible;
     fixture.Steer(header, OpeningOf(FlowOf(1), each.copy));
     cr_assert(fixture.HasReset() == each.refused, "%s", each.name);
-    const auto* notified = fixture.FindAction<notify_balancer>();
+    const auto* notified = fixture.FindAction<send_notice>();
     cr_assert((notified != nullptr &&
                notified->header.kind == steering_kind::kRefused) ==
               each.refused);
@@ -507,7 +507,7 @@
     }
     cr_assert((fixture.DiscardReason() == result_code::kSearchEnded) !=
               each.reset);
-    cr_assert(fixture.FindAction<notify_balancer>()->header.kind ==
+    cr_assert(fixture.FindAction<send_notice>()->header.kind ==
               steering_kind::kUnknown);
   }
 }
@@ -528,7 +528,7 @@
   fixture.FromTarget(SegmentOf(FlowOf(2), 1, "answer"));
   cr_assert(fixture.FindAction<answer_caller>() != nullptr);
   fixture.Steer(SegmentOf(FlowOf(2), 1, "data"));
-  cr_assert(fixture.FindAction<notify_balancer>() != nullptr);
+  cr_assert(fixture.FindAction<send_notice>() != nullptr);
   // The target can't own a flow of another service.
   steering_header header = owner_fixture::Header(FlowOf(3));
   header.services[0] = ServiceTag("shop");
@@ -594,7 +594,7 @@
     cr_assert(fixture.HasReset() == each.reset, "%s", each.name);
     cr_assert((fixture.DiscardReason() == result_code::kFlowLost) !=
               each.reset);
-    cr_assert(fixture.FindAction<notify_balancer>()->header.kind ==
+    cr_assert(fixture.FindAction<send_notice>()->header.kind ==
               steering_kind::kUnknown);
   }
 }
--- a/tests/steering/steering_header_test.cc
+++ b/tests/steering/steering_header_test.cc
@@ -23,7 +23,7 @@
 
 steering_header SomeHeader() {
   steering_header header;
-  header.kind = static_cast<steering_kind>(*rc::gen::inRange(1, 5));
+  header.kind = static_cast<steering_kind>(*rc::gen::inRange(1, 6));
   header.confirmed = *rc::gen::arbitrary<bool>();
   header.uncertain = *rc::gen::arbitrary<bool>();
   header.flow = *rc::gen::arbitrary<std::uint64_t>();
@@ -99,7 +99,7 @@
       {0, '\xa5', result_code::kEnvelopeMalformed},
       {1, '\x41', result_code::kEnvelopeVersion},
       {1, '\x80', result_code::kEnvelopeMalformed},   // no kind
-      {1, '\x85', result_code::kEnvelopeMalformed},   // unknown kind
+      {1, '\x86', result_code::kEnvelopeMalformed},   // unknown kind
       {29, '\x00', result_code::kEnvelopeMalformed},  // no service
       {29, '\x05', result_code::kEnvelopeMalformed},  // too many services
       {30, '\x19', result_code::kEnvelopeMalformed},  // too many visits
--- a/tests/steering/steering_simulation.cc
+++ b/tests/steering/steering_simulation.cc
@@ -151,15 +151,23 @@
   for (std::size_t number = 0; number < balancers_.size(); ++number)
     RouteHeldSegments(number);
   for (std::size_t number = 0; number < target_vms_.size(); ++number) {
-    target_vm* each = target_vms_[number].get();
-    StartDaemon(each, true);
-    StartServer(each, Services()[number % 3 == 2 ? 1 : 0]);
+    const auto start = [this, number] {
+      target_vm* each = target_vms_[number].get();
+      StartDaemon(each, true);
+      StartServer(each, Services()[number % 3 == 2 ? 1 : 0]);
+    };
+    if (settings_.start_spread == duration::zero()) {
+      start();
+    } else {
+      ScheduleAt(kStart + RandomDuration(settings_.start_spread), start);
+    }
   }
   for (std::size_t number = 0; number < settings_.flows; ++number) {
     ScheduleAt(kStart + seconds(1) + RandomDuration(settings_.fault_phase),
                [this, number] { StartCaller(number); });
   }
   ScheduleNextFault();
+  ScheduleRotation();
   const time_point end = faults_end_ + settings_.recovery;
   while (failure_.empty() && !tasks_.empty() && tasks_.front().at <= end) {
     std::pop_heap(tasks_.begin(), tasks_.end());
@@ -189,10 +197,22 @@
   for (const auto& each : target_vms_) {
     counts_.searched += each->daemon->counters().searched;
     counts_.returned += each->daemon->counters().returned;
+    counts_.located += each->daemon->counters().located;
   }
   return failure_;
 }
 
+// Puts another number of balancers into rotation, again and again until the end
+// of the fault phase. Nearly all flows change their balancer each time.
+void steering_simulation::ScheduleRotation() {
+  if (settings_.rotation_interval == duration::zero() || now_ >= faults_end_)
+    return;
+  ScheduleAfter(settings_.rotation_interval, [this] {
+    in_rotation_ = in_rotation_ % balancers_.size() + 1;
+    ScheduleRotation();
+  });
+}
+
 // Schedules a random fault or change after a random interval, and after it the
 // next one, until the end of the fault phase.
 void steering_simulation::ScheduleNextFault() {
@@ -202,6 +222,7 @@
   if (now_ + pause >= faults_end_) return;
   ScheduleAfter(pause, [this] {
     target_vm* where = target_vms_[RandomBelow(target_vms_.size())].get();
+    if (where->daemon == nullptr) return ScheduleNextFault();
     server* target = where->target.get();
     switch (RandomBelow(9)) {
       case 0:
@@ -376,6 +397,7 @@
       where, where->cut_off ? node_liveness::kSilent : node_liveness::kAlive);
   std::vector<segment_action> actions;
   where->daemon->Tick(now_, &actions);
+  Perform(where, actions);
   ScheduleAfter(milliseconds(300), [this, where, start = target->start,
                                     number = where->daemon_number] {
     if (where->target != nullptr && where->target->start == start &&
@@ -574,9 +596,20 @@
   if (at == nullptr || at->cut_off) return;
   std::string_view rest;
   const auto header = ReadSteeringHeader(bytes, &rest, nullptr);
+  if (header->kind == steering_kind::kRegistration)
+    return at->daemon->OnRegistration(*header, now_);
   std::vector<segment_action> actions;
-  at->daemon->OnSteered(*header, plain_codec::Make(rest, false), now_,
-                        &actions);
+  const segment received = plain_codec::Make(rest, false);
+  at->daemon->OnSteered(*header, received, now_, &actions);
+  const bool is_delivered = std::any_of(
+      actions.begin(), actions.end(), [](const segment_action& each) {
+        return std::holds_alternative<deliver_segment>(each);
+      });
+  const bool agree = now_ >= kStart + settings_.start_spread + seconds(2);
+  if (is_delivered && agree && !received.opens()) {
+    counts_.longest_lookup =
+        std::max<std::size_t>(counts_.longest_lookup, header->visit_count);
+  }
   Perform(at, actions);
 }
 
@@ -602,9 +635,11 @@
       Send([this, to = passed->to, sent] { OnDaemonReceives(to, sent); });
     } else if (const auto* answer = std::get_if<answer_caller>(&each)) {
       Send([this, copy = *answer] { OnCallerReceives(copy.key, copy.bytes); });
-    } else if (const auto* notify = std::get_if<notify_balancer>(&each)) {
+    } else if (const auto* notify = std::get_if<send_notice>(&each)) {
       std::string sent;
       AppendSteeringHeader(notify->header, &sent);
+      if (notify->header.kind == steering_kind::kRegistration)
+        Send([this, to = notify->to, sent] { OnDaemonReceives(to, sent); });
       sent += ToString(at->where);
       for (std::size_t to = 0; to < balancers_.size(); ++to) {
         if (balancers_[to]->where != notify->to) continue;
--- a/tests/steering/steering_simulation.h
+++ b/tests/steering/steering_simulation.h
@@ -26,6 +26,10 @@
   std::size_t balancers = 3;
   std::size_t target_vms = 6;  // each runs a target and its daemon
   std::size_t flows = 60;
+  // The target VMs start at random times within it.
+  duration start_spread{0};
+  // The balancers in rotation change this often; 0: only by faults.
+  duration rotation_interval{0};
   // Shares of the messages that are lost, duplicated and delayed by up to 700
   // ms more, all in the fault phase only.
   double lost = 0.05;
@@ -55,6 +59,10 @@
     std::size_t returned = 0;  // segments that targets returned
     std::size_t searched = 0;  // segments passed on to search for the owner
     std::size_t passed = 0;    // openings passed on
+    std::size_t located = 0;   // segments passed on to a registered owner
+    // Daemons that a segment visited before it reached its owner, at most, once
+    // the rosters agree on the targets of the start.
+    std::size_t longest_lookup = 0;
   };
   const outcome_counts& counts() const { return counts_; }
 
@@ -75,6 +83,7 @@
   // Sends a message over the network; `work` runs at each arrival.
   void Send(std::function<void()> work);
   void ScheduleNextFault();
+  void ScheduleRotation();
   void StartServer(target_vm* where, const std::string& service);
   void CrashServer(target_vm* where);
   void StartDaemon(target_vm* where, bool started_before_target);
