Search in parts where one search can't visit all possible owners

Cause: a reset needs a visit to each possible owner, and a search visits 24. Change: the daemon at which such a search ends splits it; the parts visit disjoint sets of owners, chosen by hash, and tell it how they ended; it decides by the same conditions as the end of one search. The count of possible owners has 16 bits.

--- a/include/tamaracklatch/steering/segment_owner.h
+++ b/include/tamaracklatch/steering/segment_owner.h
@@ -31,6 +31,7 @@
 class owned_flows;
 class owner_registry;
 class recent_flows;
+class search_collector;
 class target_directory;
 struct owned_flow;
 
@@ -108,8 +109,10 @@
   // A segment received from a balancer or another target daemon.
   void OnSteered(const steering_header& header, const segment& received,
                  time_point now, std::vector<segment_action>* actions);
-  // A registration received from another target daemon.
-  void OnRegistration(const steering_header& header, time_point now);
+  // A header alone, received from another target daemon: kRegistration or
+  // kPartEnded; others are ignored.
+  void OnNotice(const steering_header& header, time_point now,
+                std::vector<segment_action>* actions);
   // A segment received from the target: its answer, or a returned delivery.
   void OnTargetSegment(const segment& received, time_point now,
                        std::vector<segment_action>* actions);
@@ -160,6 +163,12 @@
   void RegisterNewFlow(owned_flow* flow, time_point now, actions* out);
   void RegisterFlow(owned_flow* flow, time_point now, actions* out);
   void RegisterDueFlows(time_point now, actions* out);
+  bool BeginParts(const steering_header& header, const segment& received,
+                  time_point now, actions* out);
+  void ContinuePart(steering_header header, const segment& received,
+                    bool is_sure, time_point now, actions* out);
+  void OnPartEnded(const steering_header& outcome, time_point now,
+                   actions* out);
   bool RecordVisit(steering_header* header, bool is_sure, time_point now);
   std::uint32_t ChooseLeastLoaded(const steering_header& header);
   result_code CheckAdmission(time_point now) const;
@@ -202,6 +211,7 @@
   std::unique_ptr<owned_flows> flows_;
   std::unique_ptr<delivery_cache> deliveries_;
   std::unique_ptr<owner_registry> registry_;
+  std::unique_ptr<search_collector> collector_;
   std::unique_ptr<recent_flows> reported_searches_;  // kSearchStarted
   std::unique_ptr<recent_flows> reported_endings_;   // failed searches, resets
   // Flows whose first copy of the opening was passed on and may be refused by
--- a/include/tamaracklatch/steering/steering_counters.h
+++ b/include/tamaracklatch/steering/steering_counters.h
@@ -33,12 +33,13 @@
   std::uint64_t claimed = 0;  // flows whose caller accepted the target's answer
   std::uint64_t hints_sent = 0;          // kOwner, kUnknown and kRefused
   std::uint64_t registrations_sent = 0;  // kRegistration
-  std::uint64_t located = 0;    // segments passed on to a registered owner
-  refusal_counters passed;      // openings passed to another target daemon
-  refusal_counters reset;       // resets sent to callers
-  refusal_counters discarded;   // segments discarded
-  refusal_counters forgotten;   // flows removed from the flow table
-  span_histogram first_answer;  // from an opening to the target's SYN-ACK
+  std::uint64_t located = 0;         // segments passed on to a registered owner
+  std::uint64_t split_searches = 0;  // searches in parts that began here
+  refusal_counters passed;           // openings passed to another target daemon
+  refusal_counters reset;            // resets sent to callers
+  refusal_counters discarded;        // segments discarded
+  refusal_counters forgotten;        // flows removed from the flow table
+  span_histogram first_answer;       // from an opening to the target's SYN-ACK
   // Other target daemons visited by a segment before it reached this one.
   visit_histogram opening_visits;        // openings that were accepted
   visit_histogram search_visits;         // segments of flows owned here
--- a/include/tamaracklatch/steering/steering_header.h
+++ b/include/tamaracklatch/steering/steering_header.h
@@ -19,6 +19,9 @@
 // The most services whose targets are searched for the owner of a flow.
 inline constexpr std::size_t kMaxSteeringServices = 4;
 
+// The most parts of one search.
+inline constexpr std::size_t kMaxSearchParts = 64;
+
 // A 32-bit hash that identifies a service in a header; the same on every node.
 std::uint32_t ServiceTag(std::string_view service);
 // A 32-bit hash that identifies one start of a target daemon by its endpoint
@@ -34,11 +37,14 @@
   // To a target daemon that a search visits early: the daemon at `balancer`
   // owns the flow.
   kRegistration = 5,
+  // To the collector of a search in parts: a part ended without an owner.
+  kPartEnded = 6,
 };
 
 // Written by balancers, extended by each target daemon that passes the segment
 // on. Invariants: service_count >= 1 for kSegment; service_count <=
-// kMaxSteeringServices; visit_count <= kMaxSteeringVisits.
+// kMaxSteeringServices; visit_count <= kMaxSteeringVisits; parts <=
+// kMaxSearchParts; part < parts unless parts is 0.
 struct steering_header {
   steering_kind kind = steering_kind::kSegment;
   // The balancer's view was recently confirmed by the control quorum and has
@@ -58,9 +64,14 @@
   // Load of the target whose daemon passed the segment on, in 1/256 of a slot.
   std::uint32_t sender_load = 0;
   std::uint64_t target_start = 0;  // kOwner: as in node_record; 0: unknown
-  // The largest number of possible owners that any node on the path knew; 255
+  // The largest number of possible owners that any node on the path knew; 65535
   // also stands for more.
-  std::uint8_t possible_owners = 0;
+  std::uint16_t possible_owners = 0;
+  // Of a search in parts, kSegment and kPartEnded: the number of parts, and
+  // which this is. 0: the search is whole.
+  std::uint8_t parts = 0;
+  std::uint8_t part = 0;
+  endpoint collector;  // kSegment with parts: receives kPartEnded
   std::uint8_t service_count = 0;
   std::uint8_t visit_count = 0;
   // Tags of the services whose targets may own the flow. services[0] is the one
--- a/src/daemon/steering_target.cc
+++ b/src/daemon/steering_target.cc
@@ -161,8 +161,10 @@
   std::string_view rest;
   const auto header = ReadSteeringHeader(bytes, &rest, &why);
   if (!header) return CountDropped(why.code);
-  if (header->kind == steering_kind::kRegistration)
-    return owner_.OnRegistration(*header, frame_.Now());
+  if (header->kind != steering_kind::kSegment) {
+    owner_.OnNotice(*header, frame_.Now(), &actions_);
+    return Perform();
+  }
   const auto what = codec_->Decode(rest, false, &why);
   if (!what) return CountDropped(why.code);
   const time_point now = frame_.Now();
@@ -245,6 +247,9 @@
   counts.SetTotal("tamaracklatch_segments_located_total",
                   "Segments passed on to the registered owner of their flow.",
                   total(counted.located));
+  counts.SetTotal("tamaracklatch_split_searches_total",
+                  "Searches in parts that began here.",
+                  total(counted.split_searches));
   counts.SetTotal("tamaracklatch_flows_claimed_total",
                   "Flows whose caller took the target's answer.",
                   total(counted.claimed));
--- a/src/steering/segment_owner.cc
+++ b/src/steering/segment_owner.cc
@@ -12,6 +12,7 @@
 #include "steering/owned_flows.h"
 #include "steering/owner_registry.h"
 #include "steering/recent_flows.h"
+#include "steering/search_collector.h"
 #include "steering/target_directory.h"
 
 namespace tamaracklatch {
@@ -50,6 +51,9 @@
 constexpr std::size_t kReportedFlows = 256;
 constexpr std::size_t kPassedFlows = 4096;
 
+// Searches in parts whose outcomes are collected at the same time.
+constexpr std::size_t kCollectedSearches = 1024;
+
 // Load of the target as a fraction of its slots.
 double LoadPerSlot(const directory_target& target) {
   return static_cast<double>(target.load) / (256.0 * target.slots);
@@ -72,6 +76,7 @@
       flows_(std::make_unique<owned_flows>(settings.max_flows, now)),
       deliveries_(std::make_unique<delivery_cache>()),
       registry_(std::make_unique<owner_registry>(settings.max_flows)),
+      collector_(std::make_unique<search_collector>(kCollectedSearches)),
       reported_searches_(std::make_unique<recent_flows>(kReportedFlows)),
       reported_endings_(std::make_unique<recent_flows>(kReportedFlows)),
       passed_openings_(std::make_unique<recent_flows>(kPassedFlows)),
@@ -150,6 +155,15 @@
   Deliver(header, received, flow, now, actions);
 }
 
+void segment_owner::OnNotice(const steering_header& header, time_point now,
+                             std::vector<segment_action>* actions) {
+  if (header.kind == steering_kind::kRegistration) {
+    registry_->Put(header.flow, header.balancer, now);
+  } else if (header.kind == steering_kind::kPartEnded) {
+    OnPartEnded(header, now, actions);
+  }
+}
+
 // Called for the first segment with an acknowledgment after the opening: the
 // acknowledgment number shows whether the caller accepted this target's answer.
 void segment_owner::EvaluateClaim(const steering_header& header,
@@ -442,8 +456,8 @@
   if (!is_sure && IsFlowTableIncomplete(now)) header->uncertain = true;
   header->sender_load = load();
   const std::size_t possible = targets_->ListOwners(*header, now).size();
-  header->possible_owners = static_cast<std::uint8_t>(std::min<std::size_t>(
-      std::max<std::size_t>(header->possible_owners, possible), 255));
+  header->possible_owners = static_cast<std::uint16_t>(std::min<std::size_t>(
+      std::max<std::size_t>(header->possible_owners, possible), UINT16_MAX));
   return header->HasVisited(node_) || header->AddVisit(node_);
 }
 
@@ -452,6 +466,8 @@
 void segment_owner::Search(steering_header header, const segment& received,
                            bool is_sure, time_point now,
                            std::vector<segment_action>* actions) {
+  if (header.parts > 0)
+    return ContinuePart(header, received, is_sure, now, actions);
   const bool is_first = header.visit_count == 0;
   const bool visited = RecordVisit(&header, is_sure, now);
   target_index next =
@@ -462,7 +478,8 @@
     next = targets_->NextOwner(header, settings_.self, now);
   }
   if (next == kNoTargetIndex) {
-    EndSearch(header, received, result_code::kSearchEnded, now, actions);
+    if (!BeginParts(header, received, now, actions))
+      EndSearch(header, received, result_code::kSearchEnded, now, actions);
     return;
   }
   ++counters_.searched;
@@ -631,6 +648,7 @@
   if (now - last_sweep_ < kSweepInterval) return;
   last_sweep_ = now;
   registry_->Sweep(now);
+  collector_->Sweep(now);
   flow_limits limits;
   limits.age = settings_.max_flow_age;
   limits.idle = settings_.max_flow_age;
--- a/src/steering/segment_owner_registration.cc
+++ b/src/steering/segment_owner_registration.cc
@@ -19,12 +19,6 @@
 
 }  // namespace
 
-void segment_owner::OnRegistration(const steering_header& header,
-                                   time_point now) {
-  if (header.kind == steering_kind::kRegistration)
-    registry_->Put(header.flow, header.balancer, now);
-}
-
 // The registered owner of the flow, if it may still be its owner and was not
 // visited; kNoTargetIndex otherwise.
 std::uint32_t segment_owner::FindRegisteredOwner(const steering_header& header,
--- a/src/steering/segment_router.cc
+++ b/src/steering/segment_router.cc
@@ -443,8 +443,8 @@
   const owner_search& search = targets_->ListOwners(header, now);
   if (search.size() == 0) return Drop(result_code::kNoTarget);
   ++counters_.searched;
-  header.possible_owners =
-      static_cast<std::uint8_t>(std::min<std::size_t>(search.size(), 255));
+  header.possible_owners = static_cast<std::uint16_t>(
+      std::min<std::size_t>(search.size(), UINT16_MAX));
   // Where a search can't visit all owners, the next one begins at its last
   // visit.
   const std::size_t stride =
--- a/src/steering/steering_header.cc
+++ b/src/steering/steering_header.cc
@@ -1,8 +1,9 @@
 // The encoding of the steering header. Fields in order, with sizes in bytes:
 //   magic 1, flags 1 (kind, confirmed, uncertain, IPv6, version), flow 8,
 //   balancer 6 (IPv4) or 18 (IPv6), set version 8, sender load 4, possible
-//   owners 1, service count 1, visit count 1, receiver 4 (kSegment only),
-//   target start 8 (kOwner only), services 4 each, visits 4 each.
+//   owners 2, service count 1, visit count 1, receiver 4 (kSegment only), parts
+//   1 (kSegment and kPartEnded), part 1 (with parts), collector 18 (kSegment
+//   with parts), target start 8 (kOwner only), services 4 each, visits 4 each.
 #include "tamaracklatch/steering/steering_header.h"
 
 #include <algorithm>
@@ -27,7 +28,7 @@
 
 constexpr std::size_t kV4Offset = 12;  // in an IPv4-mapped IPv6 address
 constexpr std::size_t kMaxBytes =
-    64 + 4 * (kMaxSteeringServices + kMaxSteeringVisits);
+    96 + 4 * (kMaxSteeringServices + kMaxSteeringVisits);
 
 std::uint8_t FlagsOf(const steering_header& header) {
   auto flags = static_cast<std::uint8_t>(header.kind);
@@ -37,6 +38,37 @@
   return static_cast<std::uint8_t>(flags | kVersion << kVersionShift);
 }
 
+bool HasParts(steering_kind kind) {
+  return kind == steering_kind::kSegment || kind == steering_kind::kPartEnded;
+}
+
+void WriteParts(const steering_header& header, byte_writer* writer) {
+  writer->Write(header.parts);
+  if (header.parts == 0) return;
+  writer->Write(header.part);
+  if (header.kind != steering_kind::kSegment) return;
+  const auto& bytes = header.collector.address.bytes;
+  writer->WriteBytes(bytes.data(), bytes.size());
+  writer->Write(header.collector.port);
+}
+
+// False if the values contradict each other; truncation is found later.
+bool ReadParts(byte_reader* reader, steering_header* header) {
+  header->parts = reader->Read<std::uint8_t>();
+  const bool has_parts = header->parts != 0;
+  if (reader->ok() && !has_parts)
+    return header->kind == steering_kind::kSegment;
+  if (has_parts) header->part = reader->Read<std::uint8_t>();
+  if (!reader->ok()) return true;
+  if (header->parts > kMaxSearchParts || header->part >= header->parts)
+    return false;
+  if (header->kind != steering_kind::kSegment) return true;
+  auto& bytes = header->collector.address.bytes;
+  reader->ReadBytes(bytes.data(), bytes.size());
+  header->collector.port = reader->Read<std::uint16_t>();
+  return true;
+}
+
 std::optional<steering_header> Refuse(failure* last_failure, result_code code,
                                       const char* reason) {
   SetFailure(last_failure, code, reason);
@@ -90,6 +122,7 @@
   writer.Write(header.service_count);
   writer.Write(header.visit_count);
   if (header.kind == steering_kind::kSegment) writer.Write(header.receiver);
+  if (HasParts(header.kind)) WriteParts(header, &writer);
   if (header.kind == steering_kind::kOwner) writer.Write(header.target_start);
   for (std::size_t at = 0; at < header.service_count; ++at)
     writer.Write(header.services[at]);
@@ -130,13 +163,13 @@
   header.balancer.port = reader.Read<std::uint16_t>();
   header.set_version = reader.Read<std::uint64_t>();
   header.sender_load = reader.Read<std::uint32_t>();
-  header.possible_owners = reader.Read<std::uint8_t>();
+  header.possible_owners = reader.Read<std::uint16_t>();
   header.service_count = reader.Read<std::uint8_t>();
   header.visit_count = reader.Read<std::uint8_t>();
   const bool needs_service = header.kind == steering_kind::kSegment;
   if (reader.ok() &&
       (header.kind < steering_kind::kSegment ||
-       header.kind > steering_kind::kRegistration ||
+       header.kind > steering_kind::kPartEnded ||
        header.service_count > kMaxSteeringServices ||
        header.visit_count > kMaxSteeringVisits || (v6 && address.IsV4()) ||
        (needs_service && header.service_count == 0))) {
@@ -145,6 +178,10 @@
   }
   if (header.kind == steering_kind::kSegment)
     header.receiver = reader.Read<std::uint32_t>();
+  if (HasParts(header.kind) && !ReadParts(&reader, &header)) {
+    return Refuse(last_failure, result_code::kEnvelopeMalformed,
+                  "a part of a search that has none such");
+  }
   if (header.kind == steering_kind::kOwner)
     header.target_start = reader.Read<std::uint64_t>();
   for (std::size_t at = 0; reader.ok() && at < header.service_count; ++at)
--- a/src/steering/target_directory.cc
+++ b/src/steering/target_directory.cc
@@ -2,6 +2,7 @@
 #include "steering/target_directory.h"
 
 #include <algorithm>
+#include <cassert>
 #include <limits>
 
 namespace tamaracklatch {
@@ -195,6 +196,32 @@
   return true;
 }
 
+target_index target_directory::NextInPart(const steering_header& header,
+                                          const endpoint& self) const {
+  assert(header.parts > 0);
+  for (const auto* list : {&search_.alive, &search_.silent}) {
+    for (const target_index index : *list) {
+      const directory_target& target = targets_[index];
+      if (HashPair(target.hash, header.flow) % header.parts != header.part)
+        continue;
+      if (target.where == self || target.where == header.collector) continue;
+      if (!header.HasVisited(target.node)) return index;
+    }
+  }
+  return kNoTargetIndex;
+}
+
+bool target_directory::AllAmong(const std::set<std::uint32_t>& nodes) const {
+  std::set<std::uint32_t> found;
+  for (const auto* list : {&search_.alive, &search_.silent}) {
+    for (const target_index index : *list) {
+      const std::uint32_t node = targets_[index].node;
+      if (nodes.count(node) == 0 || !found.insert(node).second) return false;
+    }
+  }
+  return !found.empty();
+}
+
 bool target_directory::AllVisited(const steering_header& header) const {
   std::array<std::uint32_t, kMaxSteeringVisits> nodes{};
   if (search_.size() > nodes.size()) return false;
--- a/src/steering/target_directory.h
+++ b/src/steering/target_directory.h
@@ -7,6 +7,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -121,6 +122,15 @@
   // since one visit could stand for either.
   bool AllVisited(const steering_header& header) const;
 
+  // After ListOwners: the next unvisited owner of the header's part of a
+  // search, alive ones first, other than `self` and the collector. Which owner
+  // is in which part is the same on all nodes. kNoTargetIndex if there is none.
+  target_index NextInPart(const steering_header& header,
+                          const endpoint& self) const;
+
+  // After ListOwners: as AllVisited, with the visits of all parts of a search.
+  bool AllAmong(const std::set<std::uint32_t>& nodes) const;
+
   // After ListOwners: whether all daemons started before any copy of an opening
   // that may still be in transit was sent.
   bool AllSettled(time_point now) const;
--- a/tests/steering/owner_registration_test.cc
+++ b/tests/steering/owner_registration_test.cc
@@ -206,7 +206,7 @@
     registration.kind = steering_kind::kRegistration;
     registration.flow = flow;
     registration.balancer = owner;
-    fixture.owner->OnRegistration(registration, fixture.now);
+    fixture.owner->OnNotice(registration, fixture.now, &fixture.actions);
     if (each.owner == state::kOld) fixture.now += seconds(16);
     const auto number = static_cast<std::uint32_t>(owner.address.bytes[15]);
     roster_entry entry =
--- a/tests/steering/schedule_test.cc
+++ b/tests/steering/schedule_test.cc
@@ -25,6 +25,26 @@
   });
 }
 
+// With more targets than one search visits: registrations and searches in parts
+// are under way during the faults.
+Test(schedule, holds_its_invariants_among_many_targets) {
+  test::CheckProperty("random schedules of many targets", [] {
+    simulation_settings settings;
+    settings.seed = *rc::gen::arbitrary<std::uint64_t>();
+    settings.balancers = *rc::gen::inRange<std::size_t>(1, 5);
+    settings.target_vms = *rc::gen::inRange<std::size_t>(26, 40);
+    settings.fault_rate = static_cast<double>(*rc::gen::inRange(4, 40));
+    settings.opening_span = std::chrono::seconds(5);
+    settings.max_pause = std::chrono::seconds(4);
+    if (*rc::gen::arbitrary<bool>())
+      settings.power_loss_at = std::chrono::seconds(5);
+    steering_simulation simulation(settings);
+    const std::string failed = simulation.Run();
+    RC_LOG() << "seed " << settings.seed << ": " << failed;
+    RC_ASSERT(failed.empty());
+  });
+}
+
 Test(schedule, serves_every_flow_without_faults) {
   simulation_settings settings;
   settings.lost = settings.duplicated = settings.delayed = 0.0;
@@ -98,5 +118,32 @@
   cr_expect(located > 20, "%zu", located);
 }
 
+// All flows are lost at once, and no search visits all targets.
+Test(schedule, resets_flows_that_none_of_many_targets_holds) {
+  for (const std::size_t target_vms : {20U, 60U, 120U}) {
+    for (std::uint64_t seed = 1; seed <= 2; ++seed) {
+      simulation_settings settings;
+      settings.seed = seed;
+      settings.target_vms = target_vms;
+      settings.flows = 100;
+      settings.opening_span = std::chrono::seconds(4);
+      settings.max_pause = std::chrono::seconds(9);
+      settings.power_loss_at = std::chrono::seconds(6);
+      settings.fault_rate = 0.01;
+      settings.recovery = std::chrono::seconds(8);
+      steering_simulation simulation(settings);
+      const std::string failed = simulation.Run();
+      cr_expect(failed.empty(), "%zu targets, seed %lu: %s", target_vms, seed,
+                failed.c_str());
+      const auto& counts = simulation.counts();
+      cr_expect(counts.resets > 20, "%zu targets, seed %lu: %zu", target_vms,
+                seed, counts.resets);
+      cr_expect(counts.stranded <= 5, "%zu targets, seed %lu: %zu", target_vms,
+                seed, counts.stranded);
+      cr_expect((counts.split > 0) == (target_vms > kMaxSteeringVisits));
+    }
+  }
+}
+
 }  // namespace
 }  // namespace tamaracklatch
--- a/tests/steering/steering_header_test.cc
+++ b/tests/steering/steering_header_test.cc
@@ -23,16 +23,23 @@
 
 steering_header SomeHeader() {
   steering_header header;
-  header.kind = static_cast<steering_kind>(*rc::gen::inRange(1, 6));
+  header.kind = static_cast<steering_kind>(*rc::gen::inRange(1, 7));
   header.confirmed = *rc::gen::arbitrary<bool>();
   header.uncertain = *rc::gen::arbitrary<bool>();
   header.flow = *rc::gen::arbitrary<std::uint64_t>();
   header.balancer = SomeEndpoint();
   header.set_version = *rc::gen::arbitrary<std::uint64_t>();
   header.sender_load = *rc::gen::arbitrary<std::uint32_t>();
-  header.possible_owners = *rc::gen::arbitrary<std::uint8_t>();
-  if (header.kind == steering_kind::kSegment)
-    header.receiver = *rc::gen::arbitrary<std::uint32_t>();
+  header.possible_owners = *rc::gen::arbitrary<std::uint16_t>();
+  const bool is_segment = header.kind == steering_kind::kSegment;
+  if (is_segment) header.receiver = *rc::gen::arbitrary<std::uint32_t>();
+  if (is_segment || header.kind == steering_kind::kPartEnded) {
+    header.parts = static_cast<std::uint8_t>(*rc::gen::inRange<std::size_t>(
+        is_segment ? 0 : 1, kMaxSearchParts + 1));
+    if (header.parts > 0)
+      header.part = *rc::gen::inRange<std::uint8_t>(0, header.parts);
+    if (header.parts > 0 && is_segment) header.collector = SomeEndpoint();
+  }
   if (header.kind == steering_kind::kOwner)
     header.target_start = *rc::gen::arbitrary<std::uint64_t>();
   header.service_count = static_cast<std::uint8_t>(
@@ -99,10 +106,10 @@
       {0, '\xa5', result_code::kEnvelopeMalformed},
       {1, '\x41', result_code::kEnvelopeVersion},
       {1, '\x80', result_code::kEnvelopeMalformed},   // no kind
-      {1, '\x86', result_code::kEnvelopeMalformed},   // unknown kind
-      {29, '\x00', result_code::kEnvelopeMalformed},  // no service
-      {29, '\x05', result_code::kEnvelopeMalformed},  // too many services
-      {30, '\x19', result_code::kEnvelopeMalformed},  // too many visits
+      {1, '\x87', result_code::kEnvelopeMalformed},   // unknown kind
+      {30, '\x00', result_code::kEnvelopeMalformed},  // no service
+      {30, '\x05', result_code::kEnvelopeMalformed},  // too many services
+      {31, '\x19', result_code::kEnvelopeMalformed},  // too many visits
   };
   for (const row& each : kRows) {
     steering_header header;
--- a/tests/steering/steering_simulation.cc
+++ b/tests/steering/steering_simulation.cc
@@ -171,6 +171,8 @@
   }
   ScheduleNextFault();
   ScheduleRotation();
+  if (settings_.power_loss_at != duration::zero())
+    ScheduleAt(kStart + settings_.power_loss_at, [this] { LosePower(); });
   const time_point end = faults_end_ + settings_.recovery;
   while (failure_.empty() && !tasks_.empty() && tasks_.front().at <= end) {
     std::pop_heap(tasks_.begin(), tasks_.end());
@@ -192,6 +194,7 @@
     const bool is_running = owner != nullptr && owner->target != nullptr &&
                             owner->target->start == each->owner_start &&
                             owner->target->flows.count(each->flow) > 0;
+    if (!is_running && each->phase == caller::state::kOpen) ++counts_.stranded;
     if (is_running && (each->phase == caller::state::kOpen ||
                        each->phase == caller::state::kFinishing)) {
       Fail("a flow that is open at a running target was not served");
@@ -200,6 +203,7 @@
   for (const auto& each : target_vms_) {
     counts_.searched += each->daemon->counters().searched;
     counts_.returned += each->daemon->counters().returned;
+    counts_.split += each->daemon->counters().split_searches;
     counts_.located += each->daemon->counters().located;
   }
   return failure_;
@@ -216,6 +220,15 @@
   });
 }
 
+void steering_simulation::LosePower() {
+  for (const auto& each : target_vms_) {
+    if (each->daemon == nullptr) continue;
+    CrashServer(each.get());
+    StartDaemon(each.get(), true);
+    StartServer(each.get(), each->record.service);
+  }
+}
+
 // Schedules a random fault or change after a random interval, and after it the
 // next one, until the end of the fault phase.
 void steering_simulation::ScheduleNextFault() {
@@ -600,9 +613,11 @@
   if (at == nullptr || at->cut_off) return;
   std::string_view rest;
   const auto header = ReadSteeringHeader(bytes, &rest, nullptr);
-  if (header->kind == steering_kind::kRegistration)
-    return at->daemon->OnRegistration(*header, now_);
   std::vector<segment_action> actions;
+  if (header->kind != steering_kind::kSegment) {
+    at->daemon->OnNotice(*header, now_, &actions);
+    return Perform(at, actions);
+  }
   const segment received = plain_codec::Make(rest, false);
   at->daemon->OnSteered(*header, received, now_, &actions);
   const bool is_delivered = std::any_of(
@@ -642,7 +657,8 @@
     } else if (const auto* notify = std::get_if<send_notice>(&each)) {
       std::string sent;
       AppendSteeringHeader(notify->header, &sent);
-      if (notify->header.kind == steering_kind::kRegistration)
+      if (notify->header.kind == steering_kind::kRegistration ||
+          notify->header.kind == steering_kind::kPartEnded)
         Send([this, to = notify->to, sent] { OnDaemonReceives(to, sent); });
       sent += ToString(at->where);
       for (std::size_t to = 0; to < balancers_.size(); ++to) {
--- a/tests/steering/steering_simulation.h
+++ b/tests/steering/steering_simulation.h
@@ -34,6 +34,9 @@
   duration start_spread{0};
   // The balancers in rotation change this often; 0: only by faults.
   duration rotation_interval{0};
+  // All targets and target daemons end and start again at this time after the
+  // start; 0: never.
+  duration power_loss_at{0};
   // Shares of the messages that are lost, duplicated and delayed by up to 700
   // ms more, all in the fault phase only.
   double lost = 0.05;
@@ -63,7 +66,10 @@
     std::size_t returned = 0;  // segments that targets returned
     std::size_t searched = 0;  // segments passed on to search for the owner
     std::size_t passed = 0;    // openings passed on
-    std::size_t located = 0;   // segments passed on to a registered owner
+    // Callers that at the end still take a flow for open that no target holds.
+    std::size_t stranded = 0;
+    std::size_t split = 0;    // searches in parts
+    std::size_t located = 0;  // segments passed on to a registered owner
     // Daemons that a segment visited before it reached its owner, at most, once
     // the rosters agree on the targets of the start.
     std::size_t longest_lookup = 0;
@@ -88,6 +94,7 @@
   void Send(std::function<void()> work);
   void ScheduleNextFault();
   void ScheduleRotation();
+  void LosePower();
   void StartServer(target_vm* where, const std::string& service);
   void CrashServer(target_vm* where);
   void StartDaemon(target_vm* where, bool started_before_target);
