Split a search once the head of its order is visited

Cause: a split search visited 24 daemons one after another before it was split, about 100 ms between zones, so callers of lost flows opened new ones late. Change: where a reset could follow, the daemon that finds the head without the owner splits at once, into parts of eight.

--- a/src/steering/segment_owner.cc
+++ b/src/steering/segment_owner.cc
@@ -474,6 +474,11 @@
       visited ? FindRegisteredOwner(header, now) : kNoTargetIndex;
   if (next != kNoTargetIndex) {
     ++counters_.located;
+  } else if (visited && !targets_->FitsSearch() &&
+             targets_->IsHeadVisited(header) &&
+             BeginParts(header, received, now, actions)) {
+    // Nobody of the head knows the owner: all others are visited at once.
+    return;
   } else if (visited) {
     next = targets_->NextOwner(header, settings_.self, now);
   }
--- a/src/steering/segment_owner_parts.cc
+++ b/src/steering/segment_owner_parts.cc
@@ -11,9 +11,9 @@
 namespace tamaracklatch {
 namespace {
 
-// Daemons of a part on average, so that hardly any part has more than one
-// search visits.
-constexpr std::size_t kMeanPart = kMaxSteeringVisits / 2;
+// Daemons of a part on average. A part is as slow as its visits are many, and
+// costs one message more than these.
+constexpr std::size_t kMeanPart = kMaxSteeringVisits / 3;
 
 }  // namespace
 
--- a/src/steering/target_directory.cc
+++ b/src/steering/target_directory.cc
@@ -156,6 +156,15 @@
   return 0;
 }
 
+bool target_directory::IsHeadVisited(const steering_header& header) const {
+  const auto begin = search_.alive.begin();
+  const std::size_t head = kSearchHead * header.service_count;
+  return std::all_of(begin, begin + static_cast<std::ptrdiff_t>(head),
+                     [&](target_index index) {
+                       return header.HasVisited(targets_[index].node);
+                     });
+}
+
 target_index target_directory::NextOwner(const steering_header& header,
                                          const endpoint& self,
                                          time_point now) const {
--- a/src/steering/target_directory.h
+++ b/src/steering/target_directory.h
@@ -109,6 +109,9 @@
   // After ListOwners: whether a search can visit all alive owners.
   bool FitsSearch() const { return search_.alive.size() <= kMaxSteeringVisits; }
 
+  // After ListOwners, unless FitsSearch(): whether the head was visited.
+  bool IsHeadVisited(const steering_header& header) const;
+
   // After ListOwners: the next unvisited alive owner after `self` in cyclic
   // search order, or from its start if `self` is not among them; then an
   // unvisited silent one, beginning at one that rotates with `now`.
