Wait for late work at the stop of a target daemon

Nodes with an older view go on sending for a second or two, so requests that had just arrived or were half read were cut off, and so was the end of an answer that was still on its way to the socket. Ruled out: tamaracklatch-node, whose stops graceful_stop decides already. Change: graceful_stop decides here too: done 4 s after the last work, longer than requests of others are passed on (3 s). Test: the table goes_on_while_requests_come_and_are_answered; there was no such decision before. Not tested with real processes under load.

--- a/src/daemon/targetd.cc
+++ b/src/daemon/targetd.cc
@@ -7,6 +7,7 @@
 #include <memory>
 
 #include "daemon/envelope_socket.h"
+#include "daemon/graceful_stop.h"
 #include "daemon/membership_frame.h"
 #include "daemon/process_frame.h"
 #include "daemon/request_front.h"
@@ -24,6 +25,19 @@
 constexpr std::chrono::milliseconds kAnnounceInterval{
     100};  // between looks at what the announcer wants sent
 
+// Nodes with an older view send new work for some seconds after the signal. It
+// is passed on, and what was answered last is sent.
+constexpr std::chrono::seconds kStopQuiet{4};
+// The service's document bounds how long flows and requests may last.
+constexpr std::chrono::hours kStopLimit{24};
+
+graceful_stop_settings StopSettings() {
+  graceful_stop_settings result;
+  result.limit = kStopLimit;
+  result.quiet = kStopQuiet;
+  return result;
+}
+
 relay_settings RelaySettings(const targetd_settings& settings,
                              const process_frame& frame) {
   relay_settings result;
@@ -159,7 +173,7 @@
     own.packets = settings_.packets;
     owner_ = std::make_unique<flow_owner>(own, frame_.Now(), &frame_.events());
     owner_->Reset(view_.node().view(), frame_.Now(), &actions_);
-    if (stopping_) owner_->BeginDrain(frame_.Now());
+    if (stop_.HasBegun()) owner_->BeginDrain(frame_.Now());
     Perform();
     StartRequests(own.self);
   }
@@ -181,7 +195,7 @@
     }
     front_->OnLease(announcer_.lease_end());
     front_->OnView(view_.node().view(), self);
-    if (stopping_) front_->Drain();
+    if (stop_.HasBegun()) front_->Drain();
   }
 
   void OnEnvelope(const envelope& what) {
@@ -296,8 +310,10 @@
     frame_.counts().SetTotal("tamaracklatch_packets_delivered_total",
                              "Packets handed to the target since the start.",
                              static_cast<double>(counts.delivered));
-    const bool idle = !front_ || front_->idle();
-    if (stopping_ && idle && owner_->flow_count() == 0) Finish();
+    const bool is_busy =
+        owner_->flow_count() > 0 || (front_ && !front_->idle());
+    if (is_busy) stop_.OnArrival(frame_.Now());
+    if (stop_.IsDone(frame_.Now())) Finish();
   }
 
   // A view that the control quorum confirmed after the pull was asked for
@@ -360,7 +376,7 @@
 
   // New work ends at once; what is established is waited for.
   void BeginStop() {
-    stopping_ = true;
+    stop_.Begin(frame_.Now());
     announcer_.Drain(frame_.Now());
     Announce();
     if (!owner_) return Finish();
@@ -390,7 +406,7 @@
   relay_answer relay_verdict_;           // of the opening being judged
   std::optional<time_point> pulled_at_;  // a pull that is not confirmed yet
   result_code last_refusal_ = result_code::kOk;
-  bool stopping_ = false;
+  graceful_stop stop_{StopSettings()};
 };
 
 }  // namespace
--- a/tests/daemon/graceful_stop_test.cc
+++ b/tests/daemon/graceful_stop_test.cc
@@ -56,6 +56,38 @@
   }
 }
 
+// A daemon beside a target takes requests until other nodes know of the stop;
+// each step in which one is in progress counts as an arrival.
+Test(graceful_stop, goes_on_while_requests_come_and_are_answered) {
+  struct request_row {
+    const char* name;
+    int from;  // milliseconds after the signal; -1: no request
+    int to;
+    int done;
+  };
+  constexpr request_row kRows[] = {
+      {"no request", -1, -1, 4000},
+      {"answered before the signal", -300, -50, 4000},
+      {"in progress at the signal", -300, 1000, 4950},
+      {"just after the signal", 100, 400, 4350},
+      {"a long one", 0, 90000, 93950},
+  };
+  graceful_stop_settings settings;
+  settings.limit = std::chrono::hours(24);
+  settings.quiet = std::chrono::seconds(4);
+  for (const request_row& row : kRows) {
+    graceful_stop stop(settings);
+    int done = -1;
+    for (int at = -1000; at <= 100000 && done < 0; at += 50) {
+      const time_point now{kSignal + milliseconds(at)};
+      if (at == 0) stop.Begin(now);
+      if (row.from <= at && at < row.to) stop.OnArrival(now);
+      if (stop.IsDone(now)) done = at;
+    }
+    cr_expect_eq(done, row.done, "%s: %d", row.name, done);
+  }
+}
+
 // A pause is no end where what comes next can't be known.
 Test(graceful_stop, without_a_silence_to_go_by_ends_at_its_limit) {
   graceful_stop_settings settings = kSettings;
