Take the bound of a balancer's document sets from its settings

Cause: segment_router had max_set_delay, and the balancer left it at its default of 3 s, while the large site's bound is 5 s. Found by reading the whole change.

--- a/src/daemon/steering_balancer.cc
+++ b/src/daemon/steering_balancer.cc
@@ -20,6 +20,7 @@
   result.self = settings.cluster;
   result.zone = settings.process.zone;
   result.max_flow_age = settings.max_flow_age;
+  result.max_set_delay = settings.propagation_limit;
   return result;
 }
 
