--- a/tests/steering/owner_registration_test.cc
+++ b/tests/steering/owner_registration_test.cc
@@ -66,6 +66,7 @@
     directory.RankOwners(HashFlow(FlowOf(port)), ServiceTag("web"), kSearchHead,
                          now, &ranked);
     std::vector<endpoint> head;
+    head.reserve(ranked.size());
     for (const target_index each : ranked)
       head.push_back(directory.At(each).where);
     return head;
