--- a/review/2/case.py
+++ b/review/2/case.py
@@ -60,4 +60,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main(standins.Record(HERE))))
+    sys.exit(standins.run(main, HERE))
--- a/review/standins.py
+++ b/review/standins.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import hashlib
 import json
 import os
 import pathlib
@@ -18,6 +19,7 @@
 import subprocess
 import tempfile
 import time
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 PROGRAM = "target/bin/tamaracklatch-node"
@@ -157,9 +159,9 @@
         self.process.wait()
         self.system.record("ended", self.name, self.process.returncode)
 
-    async def roll(self):
+    async def roll(self, off=0.1):
         await self.stop()
-        await asyncio.sleep(0.1)
+        await asyncio.sleep(off)
         self.settings["bootstrap"] = False
         self.start()
 
@@ -200,9 +202,16 @@
             self.add_target(service)
 
     def free_ports(self, count):
+        """Ports that nobody has on any address."""
         found = []
         while len(found) < count:
             port = random.randint(10000, 30000)
+            try:
+                for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                    with socket.socket(socket.AF_INET, kind) as probe:
+                        probe.bind(("0.0.0.0", port))
+            except OSError:
+                continue
             if port not in found:
                 found.append(port)
         return found
@@ -320,7 +329,7 @@
         if 2 * len(chosen) < len(self.system.balancers):
             chosen = self.system.balancers
         key = f"{packet.src} {packet.sport} {packet.dst} {packet.dport}"
-        at = int.from_bytes(__import__("hashlib").sha256(key.encode()).digest()[:8], "big") % len(chosen)
+        at = int.from_bytes(hashlib.sha256(key.encode()).digest()[:8], "big") % len(chosen)
         self.link.sendto(packet.encode(), (chosen[at].address, self.system.data))
         return chosen[at]
 
@@ -518,6 +527,20 @@
     return False
 
 
+def run(main, folder, limit=112.0):
+    """Runs a case, ends it by the limit or SIGTERM; 2 where it could not run."""
+    async def bounded():
+        task = asyncio.ensure_future(main(Record(folder)))
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        return await asyncio.wait_for(task, limit)
+
+    try:
+        return asyncio.run(bounded())
+    except (Exception, asyncio.CancelledError, KeyboardInterrupt):
+        traceback.print_exc()
+        return 2
+
+
 def foreign_only(system, servers, flow, owner, slack, since=0.0):
     """FLOW (b): the first span of `slack` seconds in which three or more packets of the flow reach other servers and none
     its own; None if there is none."""
