--- a/review/standins.py
+++ b/review/standins.py
@@ -543,13 +543,14 @@
 
 def foreign_only(system, servers, flow, owner, slack, since=0.0):
     """FLOW (b): the first span of `slack` seconds in which three or more packets of the flow reach other servers and none
-    its own; None if there is none."""
+    its own; None if there is none. What arrives within 0.1 s counts as one packet, as it may visit several servers."""
     own = sorted(when for when, key, _ in owner.arrived if key == flow.key)
-    other = sorted(when for each in servers if each is not owner for when, key, _ in each.arrived if key == flow.key)
-    for first in other:
-        if first < since:
-            continue
-        span = [when for when in other if first <= when <= first + slack]
+    packets = []
+    for when in sorted(when for each in servers if each is not owner for when, key, _ in each.arrived if key == flow.key):
+        if when >= since and (not packets or when - packets[-1] > 0.1):
+            packets.append(when)
+    for first in packets:
+        span = [when for when in packets if first <= when <= first + slack]
         if len(span) >= 3 and not any(first <= when <= first + slack for when in own):
             return first
     return None
