Identify services by a 128-bit digest, and starts of daemons by 64 bits

Cause: steering headers and target directories told services apart by the low 32 bits of a hash of the name, and nothing on the way of a segment compared names. Balancers listed the targets of both services as one list, and a target daemon compared the tag of an opening with its own. Ruled out: the check of document sets and the routes, which keep names apart.

Change: a service is the 128-bit BLAKE2b digest of its name, for which no two names can be found. Refusing sets with two services of one tag was no way: the set is valid, and services of earlier sets count as well. Names in the header have any length, and a number from the log would have to reach target daemons before they may take anything. The directory compares names and computes a digest only where a target is listed anew.

The same cause elsewhere: visits and receivers of headers were 32 bits of a hash of endpoint and generation, so a search could take one daemon for another that it had visited; now 64 bits.

The version of the header is 3.

Tests: service_identity/* failed before the change (2 of 2: openings placed at and taken by the other service), steering_header/of_another_version_is_refused. directory/sees_that_two_targets_share_a_tag needed two daemons of one tag, which can't be found for 64 bits; its place takes counts_no_visit_for_a_daemon_with_half_of_its_tag: daemons that agree in either half of the tag count as two, and a search goes on to the other.

--- a/include/tamaracklatch/steering/segment_owner.h
+++ b/include/tamaracklatch/steering/segment_owner.h
@@ -194,8 +194,8 @@
   segment_owner_settings settings_;
   const segment_codec* codec_;
   event_listener* listener_;
-  std::uint32_t service_;  // ServiceTag of settings_.service
-  std::uint32_t node_;     // NodeTag of this daemon's current generation
+  service_digest service_;  // of settings_.service
+  std::uint64_t node_;      // NodeTag of this daemon's current generation
   target_status status_;
   std::uint64_t target_start_ = 0;  // the last reported start, or 0
   time_point last_target_report_;   // time of the last SetTargetStatus
--- a/include/tamaracklatch/steering/segment_router.h
+++ b/include/tamaracklatch/steering/segment_router.h
@@ -113,7 +113,7 @@
  private:
   struct route_share {
     std::string service;
-    std::uint32_t tag = 0;     // ServiceTag
+    service_digest digest;     // of `service`
     std::uint32_t weight = 0;  // 0: gets no openings
     // Until then another balancer may refuse the first copy of an opening
     // without knowing of this share, so no later copy is placed here.
@@ -121,7 +121,7 @@
   };
   // A service that an earlier set assigned to the address.
   struct past_service {
-    std::uint32_t tag = 0;      // ServiceTag
+    service_digest digest;
     time_point searched_until;  // then all its flows for the address are over
   };
   struct route {
@@ -140,8 +140,8 @@
     std::size_t operator()(const endpoint& where) const noexcept;
   };
 
-  bool IsNewShare(const endpoint& where, std::uint32_t tag) const;
-  time_point FirstCopiesUntil(const endpoint& where, std::uint32_t tag,
+  time_point FirstCopiesUntil(const endpoint& where,
+                              const service_digest& service,
                               time_point now) const;
   void RetainPastServices(
       const std::unordered_map<endpoint, route, address_hash>& after,
@@ -161,7 +161,7 @@
   event MakePlacedEvent(const route& matched, std::size_t share,
                         const segment& received, std::uint64_t flow,
                         std::uint32_t target) const;
-  bool RankCandidates(std::uint64_t flow, std::uint32_t service);
+  bool RankCandidates(std::uint64_t flow, const service_digest& service);
   std::uint32_t ChooseTarget(std::uint32_t copy, std::uint64_t flow,
                              time_point now);
   double EffectiveLoad(std::uint32_t target, time_point now) const;
--- a/include/tamaracklatch/steering/steering_header.h
+++ b/include/tamaracklatch/steering/steering_header.h
@@ -11,6 +11,7 @@
 #include "tamaracklatch/core/endpoint.h"
 #include "tamaracklatch/core/ids.h"
 #include "tamaracklatch/core/result_code.h"
+#include "tamaracklatch/steering/service_digest.h"
 
 namespace tamaracklatch {
 
@@ -22,12 +23,10 @@
 // The most parts of one search.
 inline constexpr std::size_t kMaxSearchParts = 64;
 
-// A 32-bit hash that identifies a service in a header; the same on every node.
-std::uint32_t ServiceTag(std::string_view service);
-// A 32-bit hash that identifies one start of a target daemon by its endpoint
+// A 64-bit hash that identifies one start of a target daemon by its endpoint
 // and the generation of its node record. A restarted daemon gets another tag,
 // since the answer of an earlier start does not hold for a later one.
-std::uint32_t NodeTag(const endpoint& where, std::uint64_t generation);
+std::uint64_t NodeTag(const endpoint& where, std::uint64_t generation);
 
 enum class steering_kind : std::uint8_t {
   kSegment = 1,  // precedes a segment on its way to a target
@@ -59,7 +58,7 @@
   endpoint balancer;       // receives the hints
   // kSegment: NodeTag of the start of the daemon that the sender knows at the
   // receiving endpoint. A later start may receive the segment.
-  std::uint32_t receiver = 0;
+  std::uint64_t receiver = 0;
   std::uint64_t set_version = 0;  // document set applied by the balancer
   // Load of the target whose daemon passed the segment on, in 1/256 of a slot.
   std::uint32_t sender_load = 0;
@@ -74,16 +73,16 @@
   endpoint collector;  // kSegment with parts: receives kPartEnded
   std::uint8_t service_count = 0;
   std::uint8_t visit_count = 0;
-  // Tags of the services whose targets may own the flow. services[0] is the one
-  // chosen for the flow; only its targets may accept the opening.
-  std::array<std::uint32_t, kMaxSteeringServices> services{};
+  // The services whose targets may own the flow. services[0] is the one chosen
+  // for the flow; only its targets may accept the opening.
+  std::array<service_digest, kMaxSteeringServices> services{};
   // Tags of the target daemons visited so far.
-  std::array<std::uint32_t, kMaxSteeringVisits> visits{};
+  std::array<std::uint64_t, kMaxSteeringVisits> visits{};
 
-  bool HasService(std::uint32_t service) const;
-  bool HasVisited(std::uint32_t node) const;
+  bool HasService(const service_digest& service) const;
+  bool HasVisited(std::uint64_t node) const;
   // Appends the NodeTag of a visited daemon; false if the list is full.
-  bool AddVisit(std::uint32_t node);
+  bool AddVisit(std::uint64_t node);
 };
 
 // Appends the encoded header to `bytes`. The caller appends the segment.
--- a/src/steering/search_collector.h
+++ b/src/steering/search_collector.h
@@ -21,7 +21,7 @@
   steering_header header;  // of the search before it was split
   flow_key key;
   std::string reset;                // for the caller, if the flow is not open
-  std::set<std::uint32_t> nodes;    // NodeTags of all daemons visited
+  std::set<std::uint64_t> nodes;    // NodeTags of all daemons visited
   std::size_t possible_owners = 0;  // the most that any node on the way knew
   bool uncertain = false;  // a daemon could not tell, or a part was incomplete
 };
--- a/src/steering/segment_router.cc
+++ b/src/steering/segment_router.cc
@@ -81,9 +81,9 @@
     route& added = after[each.where];
     added.name = each.name;
     for (const service_share& share : each.shares) {
-      const std::uint32_t tag = ServiceTag(share.service);
-      added.shares.push_back({share.service, tag, share.weight,
-                              FirstCopiesUntil(each.where, tag, now)});
+      const service_digest digest = DigestService(share.service);
+      added.shares.push_back({share.service, digest, share.weight,
+                              FirstCopiesUntil(each.where, digest, now)});
       added.total_weight += share.weight;
     }
   }
@@ -100,10 +100,12 @@
 // applied one. A balancer that has not applied the new set lists the services
 // of the earlier sets only, so its refusal does not cover an added service.
 time_point segment_router::FirstCopiesUntil(const endpoint& where,
-                                            std::uint32_t tag,
+                                            const service_digest& service,
                                             time_point now) const {
   if (set_version_ == 0) return {};
-  const auto is_same = [&](const auto& other) { return other.tag == tag; };
+  const auto is_same = [&](const auto& other) {
+    return other.digest == service;
+  };
   const auto before = routes_.find(where);
   if (before != routes_.end()) {
     const auto& shares = before->second.shares;
@@ -135,7 +137,7 @@
     const auto found = after.find(where);
     for (const route_share& share : before.shares) {
       const auto is_same = [&](const auto& other) {
-        return other.tag == share.tag;
+        return other.digest == share.digest;
       };
       if (found != after.end() &&
           std::any_of(found->second.shares.begin(), found->second.shares.end(),
@@ -144,7 +146,7 @@
       }
       std::vector<past_service>& list = past_services_[where];
       list.erase(std::remove_if(list.begin(), list.end(), is_same), list.end());
-      list.insert(list.begin(), {share.tag, now + settings_.max_flow_age});
+      list.insert(list.begin(), {share.digest, now + settings_.max_flow_age});
     }
   }
 }
@@ -236,23 +238,23 @@
   header.balancer = settings_.self;
   header.set_version = set_version_;
   bool complete = true;
-  const auto add = [&](std::uint32_t tag) {
-    if (header.HasService(tag)) return;
+  const auto add = [&](const service_digest& service) {
+    if (header.HasService(service)) return;
     if (header.service_count == kMaxSteeringServices) {
       complete = false;
       return;
     }
-    header.services[header.service_count++] = tag;
+    header.services[header.service_count++] = service;
   };
-  add(matched.shares[share].tag);
-  for (const route_share& each : matched.shares) add(each.tag);
+  add(matched.shares[share].digest);
+  for (const route_share& each : matched.shares) add(each.digest);
   for (const past_service& each : matched.past_services) {
-    if (each.searched_until > now) add(each.tag);
+    if (each.searched_until > now) add(each.digest);
   }
   // Document sets applied before this balancer started may have had any service
   // for the route.
   if (now - first_set_time_ < flow_age) {
-    for (const std::uint32_t tag : targets_->Services()) add(tag);
+    for (const service_digest& each : targets_->Services()) add(each);
   }
   header.confirmed = view_confirmed_ && complete;
   return header;
@@ -286,7 +288,7 @@
     const route_share& each = matched.shares[share];
     if (each.weight == 0) continue;
     if (received.copy > 0 && now < each.first_copies_until) continue;
-    if (!RankCandidates(flow, each.tag)) continue;
+    if (!RankCandidates(flow, each.digest)) continue;
     const target_index target = ChooseTarget(received.copy, flow, now);
     ++counters_.openings;
     if (listener_ != nullptr) {
@@ -336,7 +338,8 @@
 }
 
 // Fills ranked_ with the candidates for an opening; false if there are none.
-bool segment_router::RankCandidates(std::uint64_t flow, std::uint32_t service) {
+bool segment_router::RankCandidates(std::uint64_t flow,
+                                    const service_digest& service) {
   targets_->Rank(
       flow, service, kOpeningCandidates,
       [](const directory_target& target) { return target.AcceptsOpenings(); },
--- a/src/steering/steering_header.cc
+++ b/src/steering/steering_header.cc
@@ -1,9 +1,11 @@
 // The encoding of the steering header. Fields in order, with sizes in bytes:
 //   magic 1, flags 1 (kind, confirmed, uncertain, IPv6, version), flow 8,
 //   balancer 6 (IPv4) or 18 (IPv6), set version 8, sender load 4, possible
-//   owners 2, service count 1, visit count 1, receiver 4 (kSegment only), parts
+//   owners 2, service count 1, visit count 1, receiver 8 (kSegment only), parts
 //   1 (kSegment and kPartEnded), part 1 (with parts), collector 18 (kSegment
-//   with parts), target start 8 (kOwner only), services 4 each, visits 4 each.
+//   with parts), target start 8 (kOwner only), services 16 each, visits 8 each.
+// Headers of other versions are refused: up to version 2 services and visits
+// were 32-bit hashes, which can't be translated.
 #include "tamaracklatch/steering/steering_header.h"
 
 #include <algorithm>
@@ -18,7 +20,9 @@
 namespace {
 
 constexpr std::uint8_t kMagic = 0x5a;
-constexpr std::uint8_t kVersion = 2;
+// The last one that two bits can tell from the earlier ones; the next format
+// takes another magic number.
+constexpr std::uint8_t kVersion = 3;
 
 constexpr std::uint8_t kKindMask = 0x07;
 constexpr std::uint8_t kConfirmedFlag = 0x08;
@@ -28,7 +32,7 @@
 
 constexpr std::size_t kV4Offset = 12;  // in an IPv4-mapped IPv6 address
 constexpr std::size_t kMaxBytes =
-    96 + 4 * (kMaxSteeringServices + kMaxSteeringVisits);
+    96 + 16 * kMaxSteeringServices + 8 * kMaxSteeringVisits;
 
 std::uint8_t FlagsOf(const steering_header& header) {
   auto flags = static_cast<std::uint8_t>(header.kind);
@@ -77,26 +81,21 @@
 
 }  // namespace
 
-std::uint32_t ServiceTag(std::string_view service) {
-  return static_cast<std::uint32_t>(HashText(service));
+std::uint64_t NodeTag(const endpoint& where, std::uint64_t generation) {
+  return HashPair(HashEndpoint(where), generation);
 }
 
-std::uint32_t NodeTag(const endpoint& where, std::uint64_t generation) {
-  return static_cast<std::uint32_t>(HashPair(HashEndpoint(where), generation) >>
-                                    32U);
-}
-
-bool steering_header::HasService(std::uint32_t service) const {
+bool steering_header::HasService(const service_digest& service) const {
   const auto* end = services.begin() + service_count;
   return std::find(services.begin(), end, service) != end;
 }
 
-bool steering_header::HasVisited(std::uint32_t node) const {
+bool steering_header::HasVisited(std::uint64_t node) const {
   const auto* end = visits.begin() + visit_count;
   return std::find(visits.begin(), end, node) != end;
 }
 
-bool steering_header::AddVisit(std::uint32_t node) {
+bool steering_header::AddVisit(std::uint64_t node) {
   if (visit_count == kMaxSteeringVisits) return false;
   visits[visit_count++] = node;
   return true;
@@ -125,7 +124,8 @@
   if (HasParts(header.kind)) WriteParts(header, &writer);
   if (header.kind == steering_kind::kOwner) writer.Write(header.target_start);
   for (std::size_t at = 0; at < header.service_count; ++at)
-    writer.Write(header.services[at]);
+    writer.WriteBytes(header.services[at].bytes.data(),
+                      header.services[at].bytes.size());
   for (std::size_t at = 0; at < header.visit_count; ++at)
     writer.Write(header.visits[at]);
   bytes->append(buffer.data(), writer.size());
@@ -177,17 +177,19 @@
                   "a field of the steering header is out of range");
   }
   if (header.kind == steering_kind::kSegment)
-    header.receiver = reader.Read<std::uint32_t>();
+    header.receiver = reader.Read<std::uint64_t>();
   if (HasParts(header.kind) && !ReadParts(&reader, &header)) {
     return Refuse(last_failure, result_code::kEnvelopeMalformed,
                   "a part of a search that has none such");
   }
   if (header.kind == steering_kind::kOwner)
     header.target_start = reader.Read<std::uint64_t>();
-  for (std::size_t at = 0; reader.ok() && at < header.service_count; ++at)
-    header.services[at] = reader.Read<std::uint32_t>();
+  for (std::size_t at = 0; reader.ok() && at < header.service_count; ++at) {
+    auto& digest = header.services[at].bytes;
+    reader.ReadBytes(digest.data(), digest.size());
+  }
   for (std::size_t at = 0; reader.ok() && at < header.visit_count; ++at)
-    header.visits[at] = reader.Read<std::uint32_t>();
+    header.visits[at] = reader.Read<std::uint64_t>();
   if (!reader.ok()) {
     return Refuse(last_failure, result_code::kEnvelopeTruncated,
                   "shorter than the counts of its steering header require");
--- a/src/steering/target_directory.cc
+++ b/src/steering/target_directory.cc
@@ -38,11 +38,12 @@
     targets_.push_back(added);
   }
   directory_target& target = targets_[place->second];
-  const std::uint32_t service = ServiceTag(record.service);
-  if (is_new || target.service != service) {
+  if (is_new || !IsListedUnder(target, record.service)) {
     if (!is_new) RemoveFromService(target, place->second);
-    target.service = service;
-    services_[service].push_back(place->second);
+    target.service = DigestService(record.service);
+    service_targets& listed = services_[target.service];
+    listed.name = record.service;
+    listed.targets.push_back(place->second);
   }
   if (is_new || target.generation != record.generation) {
     if (target.last_start != 0)
@@ -78,11 +79,17 @@
                                          target_index index) {
   const auto found = services_.find(target.service);
   if (found == services_.end()) return;
-  std::vector<target_index>& listed = found->second;
+  std::vector<target_index>& listed = found->second.targets;
   listed.erase(std::remove(listed.begin(), listed.end(), index), listed.end());
   if (listed.empty()) services_.erase(found);
 }
 
+bool target_directory::IsListedUnder(const directory_target& target,
+                                     const std::string& service) const {
+  const auto found = services_.find(target.service);
+  return found != services_.end() && found->second.name == service;
+}
+
 bool target_directory::MayOwn(const directory_target& target,
                               time_point now) const {
   // The daemon found no target; one that ran on beside it would have reported.
@@ -99,15 +106,16 @@
          now - target.last_update < max_flow_age_;
 }
 
-std::vector<std::uint32_t> target_directory::Services() const {
-  std::vector<std::uint32_t> tags;
-  tags.reserve(services_.size());
-  for (const auto& [tag, listed] : services_) tags.push_back(tag);
-  std::sort(tags.begin(), tags.end());
-  return tags;
+std::vector<service_digest> target_directory::Services() const {
+  std::vector<service_digest> digests;
+  digests.reserve(services_.size());
+  for (const auto& [digest, listed] : services_) digests.push_back(digest);
+  std::sort(digests.begin(), digests.end());
+  return digests;
 }
 
-void target_directory::RankOwners(std::uint64_t flow, std::uint32_t service,
+void target_directory::RankOwners(std::uint64_t flow,
+                                  const service_digest& service,
                                   std::size_t most, time_point now,
                                   std::vector<target_index>* out) {
   Rank(
@@ -220,11 +228,11 @@
   return kNoTargetIndex;
 }
 
-bool target_directory::AllAmong(const std::set<std::uint32_t>& nodes) const {
-  std::set<std::uint32_t> found;
+bool target_directory::AllAmong(const std::set<std::uint64_t>& nodes) const {
+  std::set<std::uint64_t> found;
   for (const auto* list : {&search_.alive, &search_.silent}) {
     for (const target_index index : *list) {
-      const std::uint32_t node = targets_[index].node;
+      const std::uint64_t node = targets_[index].node;
       if (nodes.count(node) == 0 || !found.insert(node).second) return false;
     }
   }
@@ -232,12 +240,12 @@
 }
 
 bool target_directory::AllVisited(const steering_header& header) const {
-  std::array<std::uint32_t, kMaxSteeringVisits> nodes{};
+  std::array<std::uint64_t, kMaxSteeringVisits> nodes{};
   if (search_.size() > nodes.size()) return false;
   std::size_t count = 0;
   for (const auto* list : {&search_.alive, &search_.silent}) {
     for (const target_index index : *list) {
-      const std::uint32_t node = targets_[index].node;
+      const std::uint64_t node = targets_[index].node;
       if (!header.HasVisited(node)) return false;
       nodes[count++] = node;
     }
--- a/src/steering/target_directory.h
+++ b/src/steering/target_directory.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <set>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -28,11 +29,11 @@
 
 // What the directory records of a target and its daemon.
 struct directory_target {
-  endpoint where;             // of the daemon
-  std::uint64_t hash = 0;     // HashEndpoint of `where`
-  std::uint32_t node = 0;     // NodeTag of this start of the daemon
-  std::uint32_t service = 0;  // ServiceTag
-  bool own_zone = false;      // in the zone of this node
+  endpoint where;          // of the daemon
+  std::uint64_t hash = 0;  // HashEndpoint of `where`
+  std::uint64_t node = 0;  // NodeTag of this start of the daemon
+  service_digest service;
+  bool own_zone = false;  // in the zone of this node
   node_liveness liveness = node_liveness::kAlive;
   target_condition condition = target_condition::kUnreported;
   std::uint64_t generation = 0;  // of the node record; one per daemon start
@@ -91,16 +92,17 @@
   // Sets `out` to the first `most` targets, in the flow's order, of those of
   // the service for which `accepts` is true.
   template <typename Predicate>
-  void Rank(std::uint64_t flow, std::uint32_t service, std::size_t most,
+  void Rank(std::uint64_t flow, const service_digest& service, std::size_t most,
             Predicate accepts, std::vector<target_index>* out);
 
   // Sets `out` to the first `most` possible owners, of those with an alive
   // daemon, of a flow that opened at the service; in its search order.
-  void RankOwners(std::uint64_t flow, std::uint32_t service, std::size_t most,
-                  time_point now, std::vector<target_index>* out);
+  void RankOwners(std::uint64_t flow, const service_digest& service,
+                  std::size_t most, time_point now,
+                  std::vector<target_index>* out);
 
-  // Tags of the services of all known targets, in ascending order.
-  std::vector<std::uint32_t> Services() const;
+  // The services of all known targets, in ascending order.
+  std::vector<service_digest> Services() const;
 
   // The possible owners of the header's flow, among the targets of the header's
   // services. The result is valid until the next call.
@@ -132,7 +134,7 @@
                           const endpoint& self) const;
 
   // After ListOwners: as AllVisited, with the visits of all parts of a search.
-  bool AllAmong(const std::set<std::uint32_t>& nodes) const;
+  bool AllAmong(const std::set<std::uint64_t>& nodes) const;
 
   // After ListOwners: whether all daemons started before any copy of an opening
   // that may still be in transit was sent.
@@ -156,14 +158,21 @@
   std::size_t FirstStep(const steering_header& header,
                         const endpoint& self) const;
   void RemoveFromService(const directory_target& target, target_index index);
+  // Whether the target is listed under the service of that name.
+  bool IsListedUnder(const directory_target& target,
+                     const std::string& service) const;
 
   zone_name zone_;
   duration max_flow_age_;
   std::vector<directory_target> targets_;
   time_point last_joined_;
   std::unordered_map<endpoint, target_index, endpoint_hash> indices_;
-  // By ServiceTag; no list is empty.
-  std::unordered_map<std::uint32_t, std::vector<target_index>> services_;
+  struct service_targets {
+    std::string name;
+    std::vector<target_index> targets;  // never empty
+  };
+  std::unordered_map<service_digest, service_targets, service_digest_hash>
+      services_;
   owner_search search_;                 // result of the last ListOwners
   std::vector<ranked_target> ranking_;  // buffer of Rank
   // Buffer of ListOwners: possible owners by service of the header, in the
@@ -173,14 +182,14 @@
 };
 
 template <typename Predicate>
-void target_directory::Rank(std::uint64_t flow, std::uint32_t service,
+void target_directory::Rank(std::uint64_t flow, const service_digest& service,
                             std::size_t most, Predicate accepts,
                             std::vector<target_index>* out) {
   out->clear();
   ranking_.clear();
   const auto found = services_.find(service);
   if (found == services_.end()) return;
-  for (const target_index index : found->second) {
+  for (const target_index index : found->second.targets) {
     const directory_target& target = targets_[index];
     if (accepts(target))
       ranking_.push_back({HashPair(flow, target.hash), index});
--- a/tests/steering/owner_registration_test.cc
+++ b/tests/steering/owner_registration_test.cc
@@ -56,15 +56,15 @@
     header.balancer = BalancerAt(1);
     header.receiver = NodeTag(DaemonAt(1), 1);
     header.service_count = 1;
-    header.services[0] = ServiceTag("web");
+    header.services[0] = DigestService("web");
     return header;
   }
 
   // The first daemons of the flow's search order.
   std::vector<endpoint> HeadOf(std::uint16_t port) {
     std::vector<target_index> ranked;
-    directory.RankOwners(HashFlow(FlowOf(port)), ServiceTag("web"), kSearchHead,
-                         now, &ranked);
+    directory.RankOwners(HashFlow(FlowOf(port)), DigestService("web"),
+                         kSearchHead, now, &ranked);
     std::vector<endpoint> head;
     head.reserve(ranked.size());
     for (const target_index each : ranked)
@@ -198,8 +198,8 @@
     std::vector<target_index> ranked;
     const std::uint16_t port = fixture.FindFlow(true);
     const std::uint64_t flow = HashFlow(FlowOf(port));
-    fixture.directory.RankOwners(flow, ServiceTag("web"), kTargets, fixture.now,
-                                 &ranked);
+    fixture.directory.RankOwners(flow, DigestService("web"), kTargets,
+                                 fixture.now, &ranked);
     const endpoint owner = each.owner == state::kUnknown
                                ? DaemonAt(999)
                                : fixture.directory.At(ranked.back()).where;
@@ -253,8 +253,8 @@
     steering_header header;
     header.flow = *rc::gen::arbitrary<std::uint64_t>();
     header.service_count = 2;
-    header.services[0] = ServiceTag("web");
-    header.services[1] = ServiceTag("shop");
+    header.services[0] = DigestService("web");
+    header.services[1] = DigestService("shop");
     const std::vector<target_index> alive =
         directory.ListOwners(header, kStart).alive;
     const std::size_t head = 2 * kSearchHead;
--- a/tests/steering/search_parts_test.cc
+++ b/tests/steering/search_parts_test.cc
@@ -17,7 +17,7 @@
 using test::TargetAt;
 
 steering_header OutcomeOf(std::uint64_t flow, std::uint8_t part,
-                          std::uint32_t node) {
+                          std::uint64_t node) {
   steering_header outcome;
   outcome.kind = steering_kind::kPartEnded;
   outcome.flow = flow;
@@ -44,7 +44,7 @@
   cr_assert(!collector.Add(OutcomeOf(7, 0, 3), kStart), "a part ends once");
   const auto ended = collector.Add(OutcomeOf(7, 1, 4), kStart);
   cr_assert(ended.has_value());
-  cr_assert(ended->nodes == (std::set<std::uint32_t>{1, 2, 4}));
+  cr_assert(ended->nodes == (std::set<std::uint64_t>{1, 2, 4}));
   cr_assert(ended->possible_owners == 30);
   cr_assert(!ended->uncertain);
   cr_assert(collector.size() == 0);
@@ -83,11 +83,11 @@
     steering_header whole;
     whole.flow = *rc::gen::arbitrary<std::uint64_t>();
     whole.service_count = 1;
-    whole.services[0] = ServiceTag("web");
+    whole.services[0] = DigestService("web");
     whole.parts = static_cast<std::uint8_t>(count / 12 + 1);
     whole.collector = DaemonAt(0);
     directory.ListOwners(whole, kStart);
-    std::set<std::uint32_t> nodes{NodeTag(DaemonAt(0), 1)};
+    std::set<std::uint64_t> nodes{NodeTag(DaemonAt(0), 1)};
     std::size_t visits = nodes.size();
     for (std::uint8_t part = 0; part < whole.parts; ++part) {
       steering_header header = whole;
--- a/tests/steering/segment_owner_test.cc
+++ b/tests/steering/segment_owner_test.cc
@@ -62,7 +62,7 @@
     header.balancer = BalancerAt(1);
     header.receiver = NodeTag(DaemonAt(1), 1);
     header.service_count = 1;
-    header.services[0] = ServiceTag("web");
+    header.services[0] = DigestService("web");
     return header;
   }
 
@@ -221,7 +221,7 @@
     fixture.status.max_connections = each.max_connections;
     fixture.SetCondition(each.condition);
     steering_header header = owner_fixture::Header(FlowOf(2));
-    header.services[0] = ServiceTag(each.service);
+    header.services[0] = DigestService(each.service);
     fixture.Steer(header, OpeningOf(FlowOf(2)));
     const auto* passed = fixture.FindAction<pass_segment>();
     cr_assert((fixture.FindAction<deliver_segment>() != nullptr) ==
@@ -388,7 +388,7 @@
   owner_fixture fixture;
   fixture.Open(1);
   steering_header header = owner_fixture::Header(FlowOf(1));
-  header.services[0] = ServiceTag("shop");
+  header.services[0] = DigestService("shop");
   fixture.Steer(header, OpeningOf(FlowOf(1)));
   cr_assert(fixture.DiscardReason() == result_code::kNotThisTarget);
   fixture.SetCondition(target_condition::kDraining);
@@ -531,7 +531,7 @@
   cr_assert(fixture.FindAction<send_notice>() != nullptr);
   // The target can't own a flow of another service.
   steering_header header = owner_fixture::Header(FlowOf(3));
-  header.services[0] = ServiceTag("shop");
+  header.services[0] = DigestService("shop");
   fixture.Steer(header, SegmentOf(FlowOf(3), 1, "data"));
   cr_assert(fixture.FindAction<deliver_segment>() == nullptr);
   // Flows from before the daemon's start have expired by now.
--- a/tests/steering/segment_router_test.cc
+++ b/tests/steering/segment_router_test.cc
@@ -249,8 +249,8 @@
     const auto second = std::get<forward_segment>(two.Open(port));
     cr_assert(first.header.services[0] == second.header.services[0]);
     cr_assert(first.header.service_count == 3);
-    cr_assert(first.header.services[0] != ServiceTag("idle"));
-    if (first.header.services[0] == ServiceTag("shop")) ++shop;
+    cr_assert(first.header.services[0] != DigestService("idle"));
+    if (first.header.services[0] == DigestService("shop")) ++shop;
   }
   cr_assert(shop > 150 && shop < 250, "%d", shop);
 }
@@ -262,8 +262,8 @@
   cr_assert(fixture.router->set_version() == 2);
   const auto soon = std::get<forward_segment>(fixture.SendData(1)).header;
   cr_assert(soon.service_count == 2);
-  cr_assert(soon.services[0] == ServiceTag("shop"));
-  cr_assert(soon.services[1] == ServiceTag("web"));
+  cr_assert(soon.services[0] == DigestService("shop"));
+  cr_assert(soon.services[1] == DigestService("web"));
   fixture.now += seconds(60);
   cr_assert(DropReason(fixture.SendData(1)) == result_code::kNoTarget);
 }
@@ -441,7 +441,7 @@
     cr_assert(opening.header.confirmed == each.opening);
     const auto other = std::get<forward_segment>(fixture.SendData(2));
     cr_assert(other.header.confirmed);
-    cr_assert(other.header.HasService(ServiceTag("archive")) == each.all);
+    cr_assert(other.header.HasService(DigestService("archive")) == each.all);
     cr_assert(other.header.possible_owners == kTargets + (each.all ? 1 : 0));
   }
 }
--- /dev/null
+++ b/tests/steering/service_identity_test.cc
@@ -0,0 +1,133 @@
+// Tests that a segment reaches only targets of the services that its route
+// names, for names that short hashes can't tell apart.
+#include <fmt/format.h>
+
+#include <string>
+#include <vector>
+
+#include "steering/segments.h"
+#include "support/property.h"
+#include "tamaracklatch/steering/segment_owner.h"
+#include "tamaracklatch/steering/segment_router.h"
+
+namespace tamaracklatch {
+namespace {
+
+using std::chrono::seconds;
+using test::BalancerAt;
+using test::DaemonAt;
+using test::FlowOf;
+using test::kStart;
+using test::OpeningOf;
+using test::plain_codec;
+using test::RouteAt;
+using test::TargetAt;
+
+struct name_pair {
+  const char* first;
+  const char* second;
+};
+
+// Pairs of names whose 64-bit hashes agree in the low or in the high 32 bits.
+constexpr name_pair kPairs[] = {
+    {"stockstats-main", "tool-map-v1"},       // low
+    {"docs-search-v18", "garland-hold-v30"},  // low
+    {"lake-map-v6", "rack-tree-v106"},        // low
+    {"map-glass-v25", "rack-compost-v168"},   // high
+    {"boat-user-v140", "crew-paper-v146"},    // high
+};
+
+// A set with a route for each of two services.
+document_set SetOfTwo(const name_pair& names) {
+  document_set set;
+  set.version = 1;
+  set.services = {names.first, names.second};
+  set.routes = {{"first", RouteAt(0), {{names.first, 1}}},
+                {"second", RouteAt(1), {{names.second, 1}}}};
+  return set;
+}
+
+// Guards against requests run by another service whose name has the same hash:
+// with 32-bit tags a balancer listed both services' targets as one service.
+Test(service_identity, openings_are_placed_at_their_own_service) {
+  for (const name_pair& names : kPairs) {
+    segment_router_settings settings;
+    settings.self = BalancerAt(1);
+    settings.zone = "a";
+    segment_router router(settings);
+    router.SetRoutes(SetOfTwo(names), kStart);
+    router.UpdateTarget(TargetAt(1, names.first), kStart);
+    router.UpdateTarget(TargetAt(2, names.second), kStart);
+    router.SetViewConfirmed(true);
+    const time_point now = kStart + seconds(60);
+    for (std::uint16_t port = 1; port <= 64; ++port) {
+      const auto route = static_cast<std::uint16_t>(port % 2);
+      const std::string opening = OpeningOf(FlowOf(port, route));
+      const auto decision =
+          router.Route(plain_codec::Make(opening, false), now);
+      const auto* sent = std::get_if<forward_segment>(&decision);
+      cr_assert(sent != nullptr && sent->to == DaemonAt(route + 1U), "%s",
+                names.first);
+    }
+  }
+}
+
+// Guards against the same at a target daemon: it compared 32-bit tags only, so
+// its target took openings and unknown flows of the other service.
+Test(service_identity, targets_take_segments_of_their_own_service) {
+  for (const name_pair& names : kPairs) {
+    plain_codec codec;
+    segment_owner_settings settings;
+    settings.self = DaemonAt(1);
+    settings.generation = 1;
+    settings.service = names.first;
+    settings.zone = "a";
+    segment_owner owner(settings, &codec, kStart);
+    target_status status;
+    status.condition = target_condition::kReady;
+    status.target_start = 100;
+    owner.SetTargetStatus(status, kStart);
+    owner.UpdateTarget(TargetAt(1, names.first), kStart);
+    owner.UpdateTarget(TargetAt(2, names.second), kStart);
+    const flow_key key = FlowOf(1);
+    steering_header header;
+    header.confirmed = true;
+    header.flow = HashFlow(key);
+    header.balancer = BalancerAt(1);
+    header.receiver = NodeTag(DaemonAt(1), 1);
+    header.service_count = 1;
+    header.services[0] = DigestService(names.second);
+    for (const std::string& bytes : {OpeningOf(key), test::SegmentOf(key, 7)}) {
+      std::vector<segment_action> actions;
+      owner.OnSteered(header, plain_codec::Make(bytes, false),
+                      kStart + seconds(5), &actions);
+      for (const segment_action& each : actions) {
+        cr_assert(!std::holds_alternative<deliver_segment>(each), "%s",
+                  names.second);
+      }
+    }
+  }
+}
+
+// The digest is part of the wire format: a value that differs between versions
+// or kinds of machine would split an installation.
+Test(service_identity, digests_are_fixed) {
+  struct row {
+    const char* name;
+    const char* digest;
+  };
+  constexpr row kRows[] = {
+      {"", "cae66941d9efbd404e4d88758ea67670"},
+      {"desk", "f8e476c10b18b1d6d0f6ddfd7ba5da1e"},
+      {"tool-map-v1", "bf7ebe27c1f50e13984a5818078fc79d"},
+  };
+  for (const row& each : kRows) {
+    std::string text;
+    for (const std::uint8_t byte : DigestService(each.name).bytes)
+      text += fmt::format("{:02x}", byte);
+    cr_assert(text == each.digest, "%s is %s", each.name, text.c_str());
+  }
+}
+
+}  // namespace
+}  // namespace tamaracklatch
--- a/tests/steering/steering_header_test.cc
+++ b/tests/steering/steering_header_test.cc
@@ -32,7 +32,7 @@
   header.sender_load = *rc::gen::arbitrary<std::uint32_t>();
   header.possible_owners = *rc::gen::arbitrary<std::uint16_t>();
   const bool is_segment = header.kind == steering_kind::kSegment;
-  if (is_segment) header.receiver = *rc::gen::arbitrary<std::uint32_t>();
+  if (is_segment) header.receiver = *rc::gen::arbitrary<std::uint64_t>();
   if (is_segment || header.kind == steering_kind::kPartEnded) {
     header.parts = static_cast<std::uint8_t>(*rc::gen::inRange<std::size_t>(
         is_segment ? 0 : 1, kMaxSearchParts + 1));
@@ -45,10 +45,10 @@
   header.service_count = static_cast<std::uint8_t>(
       *rc::gen::inRange<std::size_t>(1, kMaxSteeringServices + 1));
   for (std::size_t at = 0; at < header.service_count; ++at)
-    header.services[at] = *rc::gen::arbitrary<std::uint32_t>();
+    header.services[at] = DigestService(*rc::gen::arbitrary<std::string>());
   const auto visits = *rc::gen::inRange<std::size_t>(0, kMaxSteeringVisits + 1);
   for (std::size_t at = 0; at < visits; ++at)
-    header.AddVisit(*rc::gen::arbitrary<std::uint32_t>());
+    header.AddVisit(*rc::gen::arbitrary<std::uint64_t>());
   return header;
 }
 
@@ -71,6 +71,7 @@
     RC_ASSERT(read->visits == header.visits);
     RC_ASSERT(read->services == header.services);
     RC_ASSERT(read->target_start == header.target_start);
+    RC_ASSERT(read->receiver == header.receiver);
 
     failure error;
     const auto cut = *rc::gen::inRange<std::size_t>(0, bytes.size());
@@ -105,8 +106,9 @@
   constexpr row kRows[] = {
       {0, '\xa5', result_code::kEnvelopeMalformed},
       {1, '\x41', result_code::kEnvelopeVersion},
-      {1, '\x80', result_code::kEnvelopeMalformed},   // no kind
-      {1, '\x87', result_code::kEnvelopeMalformed},   // unknown kind
+      {1, '\x81', result_code::kEnvelopeVersion},
+      {1, '\xc0', result_code::kEnvelopeMalformed},   // no kind
+      {1, '\xc7', result_code::kEnvelopeMalformed},   // unknown kind
       {30, '\x00', result_code::kEnvelopeMalformed},  // no service
       {30, '\x05', result_code::kEnvelopeMalformed},  // too many services
       {31, '\x19', result_code::kEnvelopeMalformed},  // too many visits
@@ -125,6 +127,63 @@
   }
 }
 
+struct written_row {
+  const char* name;
+  std::string bytes;  // as one version of the system wrote them
+  result_code code;   // of this version
+};
+
+// Guards against misreading the header of another version while nodes are
+// rolled: versions 1 and 2 had 32-bit tags in place of the longer identities.
+Test(steering_header, of_another_version_is_refused) {
+  const std::string common(
+      "\x11\x12\x13\x14\x15\x16\x17\x18"  // flow
+      "\x0a\x01\x00\x01\x1b\x58"          // balancer 10.1.0.1:7000
+      "\x00\x00\x00\x00\x00\x00\x00\x29"  // set version 41
+      "\x00\x00\x01\x00"                  // sender load
+      "\x00\x02"                          // possible owners
+      "\x01\x01",                         // a service, a visit
+      30);
+  const std::string tags(
+      "\x21\x22\x23\x24"   // receiver
+      "\x00"               // parts
+      "\x31\x32\x33\x34"   // service
+      "\x41\x42\x43\x44",  // visit
+      13);
+  const std::string identities(
+      "\x21\x22\x23\x24\x25\x26\x27\x28"   // receiver
+      "\x00"                               // parts
+      "\xf8\xe4\x76\xc1\x0b\x18\xb1\xd6"   // service "desk", first half
+      "\xd0\xf6\xdd\xfd\x7b\xa5\xda\x1e"   // service, second half
+      "\x41\x42\x43\x44\x45\x46\x47\x48",  // visit
+      33);
+  const std::string data(64, 'd');  // a segment, which makes up for the length
+  const written_row rows[] = {
+      {"version 1", std::string("\x5a\x49") + common + tags + data,
+       result_code::kEnvelopeVersion},
+      {"version 2", std::string("\x5a\x89") + common + tags + data,
+       result_code::kEnvelopeVersion},
+      {"version 3", std::string("\x5a\xc9") + common + identities + data,
+       result_code::kOk}};
+  for (const written_row& row : rows) {
+    std::string_view rest;
+    failure error;
+    const auto read = ReadSteeringHeader(row.bytes, &rest, &error);
+    cr_assert(error.code == row.code, "%s", row.name);
+    cr_assert(read.has_value() == (row.code == result_code::kOk));
+    if (!read) continue;
+    cr_assert(rest == data);
+    cr_assert(read->confirmed && !read->uncertain);
+    cr_assert(read->flow == 0x1112131415161718);
+    cr_assert(read->receiver == 0x2122232425262728);
+    cr_assert(read->services[0] == DigestService("desk"));
+    cr_assert(read->visits[0] == 0x4142434445464748);
+    std::string again;
+    AppendSteeringHeader(*read, &again);
+    cr_assert(again + data == row.bytes, "%s", row.name);
+  }
+}
+
 Test(steering_header, bounds_its_visits) {
   steering_header header;
   for (std::uint16_t node = 0; node < kMaxSteeringVisits; ++node)
--- a/tests/steering/target_directory_test.cc
+++ b/tests/steering/target_directory_test.cc
@@ -24,8 +24,8 @@
   steering_header header;
   header.flow = flow;
   header.service_count = 2;
-  header.services[0] = ServiceTag("web");
-  header.services[1] = ServiceTag("shop");
+  header.services[0] = DigestService("web");
+  header.services[1] = DigestService("shop");
   return header;
 }
 
@@ -94,7 +94,7 @@
     for (const char* service : {"web", "shop"}) {
       std::vector<target_index> first;
       directory.Rank(
-          flow, ServiceTag(service), kFirst,
+          flow, DigestService(service), kFirst,
           [](const directory_target&) { return true; }, &first);
       for (const target_index each : first) {
         const auto end = search.alive.begin() + 2 * kFirst;
@@ -275,7 +275,7 @@
 // Guards against tag collisions. With 16-bit tags two of fourteen targets
 // shared a tag, and the search for the flows of one ended at the other.
 Test(directory, tags_of_an_installation_differ) {
-  std::set<std::uint32_t> tags;
+  std::set<std::uint64_t> tags;
   constexpr std::uint32_t kTargets = 2000;
   for (std::uint32_t zone = 1; zone <= 4; ++zone) {
     for (std::uint32_t number = 0; number < kTargets / 4; ++number) {
@@ -285,26 +285,39 @@
   }
 }
 
-Test(directory, sees_that_two_targets_share_a_tag) {
-  target_directory directory("a", kMaxFlowAge);
-  std::uint32_t number = 0;
-  std::uint32_t twin = 0;
-  std::unordered_map<std::uint32_t, std::uint32_t> seen;
-  for (;; ++number) {
-    const auto [first, is_new] =
-        seen.try_emplace(NodeTag(test::DaemonAt(number), 1), number);
-    if (is_new) continue;
-    twin = first->second;
-    break;
+struct twin_row {
+  const char* name;
+  unsigned shift;  // of the 32 bits in which the tags of two daemons agree
+};
+
+// Guards against a visit that stands for two daemons: with 32-bit tags, a
+// search that had been at one of these took the other for visited.
+Test(directory, counts_no_visit_for_a_daemon_with_half_of_its_tag) {
+  for (const twin_row& row : {twin_row{"low half", 0}, {"high half", 32}}) {
+    std::uint32_t number = 0;
+    std::uint32_t twin = 0;
+    std::unordered_map<std::uint32_t, std::uint32_t> seen;
+    for (;; ++number) {
+      const auto half = static_cast<std::uint32_t>(
+          NodeTag(test::DaemonAt(number), 1) >> row.shift);
+      const auto [first, is_new] = seen.try_emplace(half, number);
+      if (is_new) continue;
+      twin = first->second;
+      break;
+    }
+    target_directory directory("a", kMaxFlowAge);
+    directory.Update(TargetAt(number, "web"), kStart);
+    steering_header header = HeaderOf(1);
+    header.AddVisit(NodeTag(test::DaemonAt(number), 1));
+    directory.ListOwners(header, kStart);
+    cr_assert(directory.AllVisited(header), "%s", row.name);
+    directory.Update(TargetAt(twin, "web"), kStart);
+    directory.ListOwners(header, kStart);
+    cr_assert(!directory.AllVisited(header), "%s", row.name);
+    const target_index next =
+        directory.NextOwner(header, test::DaemonAt(number), kStart);
+    cr_assert(next == directory.Find(test::DaemonAt(twin)), "%s", row.name);
   }
-  directory.Update(TargetAt(number, "web"), kStart);
-  steering_header header = HeaderOf(1);
-  header.AddVisit(NodeTag(test::DaemonAt(number), 1));
-  directory.ListOwners(header, kStart);
-  cr_assert(directory.AllVisited(header));
-  directory.Update(TargetAt(twin, "web"), kStart);
-  directory.ListOwners(header, kStart);
-  cr_assert(!directory.AllVisited(header));
 }
 
 }  // namespace
