Take a flow table for complete only where nothing listened before the target

Cause: whether a daemon ran before its target was read from the sequence of the first report that it received; 0 and 1 passed for the first of a start. Where a target counts from 0, its second report does so too, and the empty flow table of a daemon that just started counted as complete: unknown flows were searched elsewhere and reset. Ruled out by the record: the hand-back of segments (the target was never asked), the roster (the daemon was listed as a possible owner and visited).

Change: no sequence counts. The daemon connects to the address at which the target listens once its own ports are open. The table counts as complete only if that is refused and the target's start is later by the clock of the VM; without an answer it does not. Event 2610 (target_probed) and the detail of 2608 tell what was found.

Tests: target_reports/no_sequence_shows_that_the_start_was_observed failed before the change for sequences 0 and 1. It and know_whether_the_start_was_observed replace know_whether_the_start_was_seen, which had the guess as its rule (rows 0 and 1 as seen) and is wrong.

--- a/include/tamaracklatch/core/event_id.h
+++ b/include/tamaracklatch/core/event_id.h
@@ -97,6 +97,7 @@
   kHeartbeatRefused = 2607,
   kTargetChanged = 2608,
   kViewConfirmed = 2609,
+  kTargetProbed = 2610,
 
 };
 
--- a/include/tamaracklatch/membership/target_reports.h
+++ b/include/tamaracklatch/membership/target_reports.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "tamaracklatch/core/endpoint.h"
@@ -55,6 +56,10 @@
   result_code OnReport(const target_report& report, time_point now,
                        wall_time wall_now);
 
+  // No process listened at the target's address when the daemon probed it at
+  // `probed`, after it had begun to receive all segments of its target.
+  void OnNoListener(wall_time probed);
+
   // The target with this id ends and is absent at once. Returns kOk, or
   // kHeartbeatStale for any other id than that of the last accepted report.
   result_code OnEnd(const std::string& id);
@@ -69,8 +74,11 @@
     return ended_ || (status_.target_start == 0 &&
                       status_.condition == target_condition::kAbsent);
   }
-  // Whether the first report of the last accepted start was received, so that
-  // this daemon was running when the target started.
+  // Whether this daemon was running when the last accepted start of the target
+  // began: there was no listener before, and the start is later by the VM's
+  // clock. Either alone is not enough: a target may close its listener and keep
+  // its flows, and the clock may be set back. Reports show nothing of it: where
+  // their sequence begins is up to the target.
   bool saw_start() const { return saw_start_; }
 
  private:
@@ -80,6 +88,8 @@
   std::uint64_t sequence_ = 0;  // of the last accepted report
   bool ended_ = false;          // the last accepted start reported its end
   bool saw_start_ = false;
+  // When there was no listener, in ms of the wall clock; nothing: not known.
+  std::optional<std::uint64_t> no_listener_at_;
   time_point last_report_at_;  // initially the start of the daemon
 };
 
--- a/src/core/event_id.cc
+++ b/src/core/event_id.cc
@@ -145,6 +145,8 @@
       return "target_changed";
     case event_id::kViewConfirmed:
       return "view_confirmed";
+    case event_id::kTargetProbed:
+      return "target_probed";
   }
   return "unknown";
 }
--- a/src/daemon/steering_target.cc
+++ b/src/daemon/steering_target.cc
@@ -14,6 +14,9 @@
 
 constexpr std::chrono::milliseconds kTickInterval{
     50};  // between looks at what expires
+// A probe of the target's listener, which is on this VM, takes less.
+constexpr std::chrono::milliseconds kProbeLimit{1000};
+
 // A stop beside a living target serves its flows on until none of them says
 // anything for this long.
 constexpr std::chrono::milliseconds kStopQuiet{1000};
@@ -57,6 +60,7 @@
       reports_({settings.service, settings.target, settings.report_silence,
                 settings.first_report},
                frame_.Now()),
+      probe_(&frame_.loop()),
       owner_(OwnerSettings(settings), codec, frame_.Now(), &frame_.events()),
       outbound_(&frame_.loop(),
                 [this](const endpoint&, std::string_view bytes) {
@@ -78,6 +82,7 @@
     return 1;
   }
   owner_.SetGeneration(roster_.member().local_record().generation);
+  ProbeTarget();
   frame_.Every(kTickInterval, [this] { Tick(); });
   frame_.OnScrape([this] { Export(); });
   frame_.Run([this] { BeginStop(); });
@@ -142,8 +147,9 @@
   event what;
   what.id = event_id::kTargetChanged;
   what.service = settings_.service;
-  what.detail = fmt::format("{}, start {}, slots {}", ToString(told_),
-                            status.target_start, status.slots);
+  what.detail = fmt::format(
+      "{}, start {}, slots {}{}", ToString(told_), status.target_start,
+      status.slots, status.saw_target_start ? ", observed from its start" : "");
   frame_.events().OnEvent(what);
 }
 
@@ -293,6 +299,24 @@
   if (stop_.HasBegun()) ContinueStop();
 }
 
+// Called once all segments of the target pass through this daemon, which
+// `outbound` is for: a target that begins to listen later has no flows that the
+// daemon does not know.
+void steering_target::ProbeTarget() {
+  const wall_time begun = frame_.WallNow();
+  probe_.Start(settings_.target_listener, kProbeLimit,
+               [this, begun](probe_result result) {
+                 if (result == probe_result::kNoListener)
+                   reports_.OnNoListener(begun);
+                 event what;
+                 what.id = event_id::kTargetProbed;
+                 what.service = settings_.service;
+                 what.peer = tamaracklatch::ToString(settings_.target_listener);
+                 what.detail = ToString(result);
+                 frame_.events().OnEvent(what);
+               });
+}
+
 void steering_target::BeginStop() {
   stop_.Begin(frame_.Now());
   FollowTarget();
--- a/src/daemon/steering_target.h
+++ b/src/daemon/steering_target.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "daemon/graceful_stop.h"
+#include "daemon/listener_probe.h"
 #include "daemon/process_frame.h"
 #include "daemon/roster_agent.h"
 #include "daemon/udp_port.h"
@@ -19,7 +20,9 @@
 struct steering_target_settings {
   process_settings process;
   std::string service;
-  endpoint target;                // UDP: where the target takes segments
+  endpoint target;  // UDP: where the target takes segments
+  // TCP: where the target listens from its start to its end.
+  endpoint target_listener;
   endpoint outbound;              // UDP: where the target sends its segments
   endpoint cluster;               // UDP: roster and steered segments
   endpoint listen_http;           // TCP: the target's reports, and metrics
@@ -72,6 +75,7 @@
   void FollowTarget();
   void Refuse(result_code code, const std::string& detail);
   void Tick();
+  void ProbeTarget();
   void BeginStop();
   void ContinueStop();
 
@@ -80,6 +84,7 @@
   process_frame frame_;
   roster_agent roster_;
   target_reports reports_;
+  listener_probe probe_;
   segment_owner owner_;
   udp_port outbound_;
   std::vector<segment_action> actions_;
--- a/src/membership/target_reports.cc
+++ b/src/membership/target_reports.cc
@@ -1,21 +1,23 @@
 // Acceptance of target reports.
 #include "tamaracklatch/membership/target_reports.h"
 
+#include <algorithm>
+
 namespace tamaracklatch {
 namespace {
 
-// A start whose first report here has at most this sequence was observed from
-// its beginning.
-constexpr std::uint64_t kMaxFirstSequence = 1;
-
 // The most by which the clocks of a target and of its daemon may differ.
 constexpr std::chrono::hours kMaxClockDifference{24};
 
+// Rounded down; 0 before the epoch.
+std::uint64_t ToMilliseconds(wall_time when) {
+  const auto since =
+      std::chrono::floor<std::chrono::milliseconds>(when.time_since_epoch());
+  return static_cast<std::uint64_t>(std::max<std::int64_t>(since.count(), 0));
+}
+
 bool IsFarAhead(std::uint64_t start, wall_time wall_now) {
-  const auto latest = std::chrono::duration_cast<std::chrono::milliseconds>(
-      wall_now.time_since_epoch() + kMaxClockDifference);
-  return latest.count() < 0 ||
-         start > static_cast<std::uint64_t>(latest.count());
+  return start > ToMilliseconds(wall_now + kMaxClockDifference);
 }
 
 }  // namespace
@@ -37,7 +39,7 @@
   if (!new_start && (ended_ || report.sequence <= sequence_))
     return result_code::kHeartbeatStale;
   if (new_start) {
-    saw_start_ = report.sequence <= kMaxFirstSequence;
+    saw_start_ = no_listener_at_ && report.start > *no_listener_at_;
     ended_ = false;
     status_.condition = target_condition::kReady;
   }
@@ -55,6 +57,10 @@
   return result_code::kOk;
 }
 
+void target_reports::OnNoListener(wall_time probed) {
+  no_listener_at_ = ToMilliseconds(probed);
+}
+
 result_code target_reports::OnEnd(const std::string& id) {
   if (id != id_) return result_code::kHeartbeatStale;
   ended_ = true;
--- a/tests/membership/target_reports_test.cc
+++ b/tests/membership/target_reports_test.cc
@@ -3,6 +3,7 @@
 
 #include <criterion/criterion.h>
 
+#include <optional>
 #include <vector>
 
 namespace tamaracklatch {
@@ -88,11 +89,6 @@
   cr_expect(reports.status().condition == target_condition::kReady);
 }
 
-struct start_row {
-  std::uint64_t sequence;
-  bool saw_start;
-};
-
 Test(target_reports, a_daemon_without_any_report_has_no_target) {
   target_reports reports(kSettings, time_point());
   cr_expect(!reports.ended());
@@ -107,12 +103,42 @@
   cr_expect(!reports.saw_start());
 }
 
-Test(target_reports, know_whether_the_start_was_seen) {
-  for (const start_row& row :
-       std::vector<start_row>{{0, true}, {1, true}, {2, false}, {40, false}}) {
+// Guards against resets of open flows after a restart of the daemon: reports
+// were taken for the first ones of their target by their sequence, and nothing
+// says with which one a target begins.
+Test(target_reports, no_sequence_shows_that_the_start_was_observed) {
+  for (const std::uint64_t sequence : {0U, 1U, 2U, 40U}) {
+    target_reports reports(kSettings, time_point());
+    reports.OnReport(Report(5, sequence), time_point(), kWall);
+    cr_expect(!reports.saw_start(), "%d", static_cast<int>(sequence));
+  }
+}
+
+struct observed_row {
+  const char* name;
+  std::optional<milliseconds> probed;  // without a listener; after kWall
+  milliseconds started;                // of the target; after kWall
+  bool saw_start;
+};
+
+Test(target_reports, know_whether_the_start_was_observed) {
+  const observed_row rows[] = {
+      {"no probe, or it found a listener", std::nullopt, milliseconds(10),
+       false},
+      {"started before the probe", milliseconds(5), milliseconds(4), false},
+      {"in the millisecond of the probe", milliseconds(5), milliseconds(5),
+       false},
+      {"started after the probe", milliseconds(5), milliseconds(6), true},
+      {"the clock was set back between", milliseconds(5), milliseconds(-900),
+       false},
+  };
+  constexpr auto kEpoch = kWall.time_since_epoch() / milliseconds(1);
+  for (const observed_row& row : rows) {
     target_reports reports(kSettings, time_point());
-    reports.OnReport(Report(5, row.sequence), time_point(), kWall);
-    cr_expect(reports.saw_start() == row.saw_start);
+    if (row.probed) reports.OnNoListener(kWall + *row.probed);
+    const auto start = static_cast<std::uint64_t>(kEpoch + row.started.count());
+    reports.OnReport(Report(start, 0), time_point(), kWall);
+    cr_expect(reports.saw_start() == row.saw_start, "%s", row.name);
   }
 }
 
--- a/tests/steering/segment_owner_test.cc
+++ b/tests/steering/segment_owner_test.cc
@@ -5,6 +5,7 @@
 
 #include "steering/segments.h"
 #include "support/property.h"
+#include "tamaracklatch/membership/target_reports.h"
 
 namespace tamaracklatch {
 namespace {
@@ -683,5 +684,26 @@
   cr_assert(fixture.DiscardReason() == result_code::kEnvelopeMalformed);
 }
 
+// Guards against resets of open flows after a restart of the daemon: where the
+// target's sequence began at 0, its second report passed for its first one, and
+// the empty flow table for a complete one.
+Test(owner, asks_a_running_target_about_flows_opened_before_its_own_start) {
+  constexpr wall_time kWall{seconds(1700000000)};
+  for (const std::uint64_t first_sequence : {0U, 1U, 2U, 9U}) {
+    target_reports_settings settings;
+    settings.service = "web";
+    target_reports reports(settings, kStart);
+    target_report report;
+    report.service = "web";
+    report.start = 1700000000000 - 300;
+    report.sequence = first_sequence + 1;
+    cr_assert(reports.OnReport(report, kStart, kWall) == result_code::kOk);
+    owner_fixture fixture(reports.saw_start());
+    fixture.Request(1);
+    cr_expect(fixture.FindAction<deliver_segment>() != nullptr);
+    cr_expect(fixture.FindAction<pass_segment>() == nullptr);
+  }
+}
+
 }  // namespace
 }  // namespace tamaracklatch
