Announce the absence of a target only where nothing listens at its address

A daemon that had no report for two intervals after its start announced that it has no target, and searches passed it by, though a target that ran on beside it and reported late held flows: those were reset.

Cause: that no report came was taken for proof that no target was there. Ruled out: the accounting of visits, since the daemon was no possible owner at all.

Change: target_reports counts a silent target of a daemon that just started as absent only once a probe found no listener, else after the longest age of a flow. The daemon probes again every two report intervals while the target is unreported, so one that ended without a word is still found out.

--- a/include/tamaracklatch/membership/target_reports.h
+++ b/include/tamaracklatch/membership/target_reports.h
@@ -36,9 +36,12 @@
   endpoint where;  // of the daemon's target
   // A target without a report for this long counts as absent.
   duration report_timeout = std::chrono::seconds(2);
-  // A running target reports to a newly started daemon within this time; after
-  // it the target counts as absent.
+  // Without a report to a newly started daemon for this long, the target counts
+  // as absent if nothing listens at its address.
   duration first_report_timeout = std::chrono::seconds(2);
+  // The age at which a flow is over. A target that may be running and does not
+  // report holds no flows from before the daemon's start after this time.
+  duration max_flow_age = std::chrono::seconds(60);
 };
 
 // Used by the target daemon. Invariants: the accepted start never decreases;
@@ -57,7 +60,9 @@
                        wall_time wall_now);
 
   // No process listened at the target's address when the daemon probed it at
-  // `probed`, after it had begun to receive all segments of its target.
+  // `probed`, after it had begun to receive all segments of its target. Probe
+  // again every first_report_timeout while the target is unreported, since it
+  // may have ended.
   void OnNoListener(wall_time probed);
 
   // The target with this id ends and is absent at once. Returns kOk, or
@@ -68,8 +73,8 @@
   bool Tick(time_point now);
 
   const target_status& status() const { return status_; }
-  // Whether the last accepted start reported its end, or no target has reported
-  // to this daemon within first_report_timeout.
+  // Whether the last accepted start reported its end, or the target is absent
+  // and has not reported to this daemon.
   bool ended() const {
     return ended_ || (status_.target_start == 0 &&
                       status_.condition == target_condition::kAbsent);
@@ -82,6 +87,9 @@
   bool saw_start() const { return saw_start_; }
 
  private:
+  // The time without a report after which the target counts as absent.
+  duration AbsenceTimeout() const;
+
   target_reports_settings settings_;
   target_status status_;
   std::string id_;              // of the last accepted report
--- a/src/daemon/listener_probe.h
+++ b/src/daemon/listener_probe.h
@@ -30,6 +30,7 @@
   // `limit` at the latest. One probe at a time; the object must outlive it.
   void Start(const endpoint& where, std::chrono::milliseconds limit,
              handler on_result);
+  bool IsRunning() const { return static_cast<bool>(on_result_); }
 
  private:
   void Finish(probe_result result);
--- a/src/daemon/steering_target.cc
+++ b/src/daemon/steering_target.cc
@@ -58,7 +58,7 @@
                 OnSteered(bytes);
               }),
       reports_({settings.service, settings.target, settings.report_silence,
-                settings.first_report},
+                settings.first_report, settings.max_flow_age},
                frame_.Now()),
       probe_(&frame_.loop()),
       owner_(OwnerSettings(settings), codec, frame_.Now(), &frame_.events()),
@@ -293,6 +293,9 @@
   owner_.SetRosterConfirmed(roster_.member().IsSynchronized(now));
   owner_.Tick(now, &actions_);
   Perform();
+  if (reports_.status().condition == target_condition::kUnreported &&
+      now - probed_ >= settings_.first_report && !probe_.IsRunning())
+    ProbeTarget();
   const bool has_changed = reports_.Tick(now);
   if (has_changed || owner_.load() != roster_.member().local_record().load)
     FollowTarget();
@@ -303,20 +306,25 @@
 // `outbound` is for: a target that begins to listen later has no flows that the
 // daemon does not know.
 void steering_target::ProbeTarget() {
-  const wall_time begun = frame_.WallNow();
+  probed_ = frame_.Now();
   probe_.Start(settings_.target_listener, kProbeLimit,
-               [this, begun](probe_result result) {
-                 if (result == probe_result::kNoListener)
-                   reports_.OnNoListener(begun);
-                 event what;
-                 what.id = event_id::kTargetProbed;
-                 what.service = settings_.service;
-                 what.peer = tamaracklatch::ToString(settings_.target_listener);
-                 what.detail = ToString(result);
-                 frame_.events().OnEvent(what);
+               [this, begun = frame_.WallNow()](probe_result result) {
+                 OnProbed(begun, result);
                });
 }
 
+void steering_target::OnProbed(wall_time begun, probe_result result) {
+  if (result == probe_result::kNoListener) reports_.OnNoListener(begun);
+  if (reported_probe_ == result) return;
+  reported_probe_ = result;
+  event what;
+  what.id = event_id::kTargetProbed;
+  what.service = settings_.service;
+  what.peer = tamaracklatch::ToString(settings_.target_listener);
+  what.detail = ToString(result);
+  frame_.events().OnEvent(what);
+}
+
 void steering_target::BeginStop() {
   stop_.Begin(frame_.Now());
   FollowTarget();
--- a/src/daemon/steering_target.h
+++ b/src/daemon/steering_target.h
@@ -3,6 +3,7 @@
 // gracefully.
 #pragma once
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,7 +32,7 @@
   std::uint16_t caller_port = 0;  // UDP: where callers take segments
   // Without a report for this long the target counts as absent.
   duration report_silence = std::chrono::seconds(2);
-  // As in target_reports_settings.
+  // As first_report_timeout in target_reports_settings.
   duration first_report = std::chrono::seconds(2);
   duration stop_limit = std::chrono::seconds(5);  // of a graceful stop
   duration max_flow_age = std::chrono::seconds(60);
@@ -76,6 +77,7 @@
   void Refuse(result_code code, const std::string& detail);
   void Tick();
   void ProbeTarget();
+  void OnProbed(wall_time begun, probe_result result);
   void BeginStop();
   void ContinueStop();
 
@@ -85,6 +87,8 @@
   roster_agent roster_;
   target_reports reports_;
   listener_probe probe_;
+  time_point probed_;                           // start of the last probe
+  std::optional<probe_result> reported_probe_;  // in the last event
   segment_owner owner_;
   udp_port outbound_;
   std::vector<segment_action> actions_;
--- a/src/membership/target_reports.cc
+++ b/src/membership/target_reports.cc
@@ -70,12 +70,19 @@
 
 bool target_reports::Tick(time_point now) {
   if (status_.condition == target_condition::kAbsent) return false;
-  const duration timeout = status_.condition == target_condition::kUnreported
-                               ? settings_.first_report_timeout
-                               : settings_.report_timeout;
-  if (now - last_report_at_ < timeout) return false;
+  if (now - last_report_at_ < AbsenceTimeout()) return false;
   status_.condition = target_condition::kAbsent;
   return true;
 }
 
+// A silent target that may have been running when the daemon started can hold
+// flows. Other nodes search for them at this daemon until it announces the
+// absence.
+duration target_reports::AbsenceTimeout() const {
+  if (status_.condition != target_condition::kUnreported)
+    return settings_.report_timeout;
+  return no_listener_at_ ? settings_.first_report_timeout
+                         : settings_.max_flow_age;
+}
+
 }  // namespace tamaracklatch
--- a/src/steering/target_directory.cc
+++ b/src/steering/target_directory.cc
@@ -92,7 +92,7 @@
 
 bool target_directory::MayOwn(const directory_target& target,
                               time_point now) const {
-  // The daemon found no target; one that ran on beside it would have reported.
+  // The daemon found no target and has had none since its start.
   if (target.condition == target_condition::kAbsent && target.last_start == 0)
     return false;
   // The daemon ended before a target's first report, and no earlier start of it
--- a/tests/membership/target_reports_test.cc
+++ b/tests/membership/target_reports_test.cc
@@ -13,7 +13,8 @@
 
 const endpoint kTarget{MakeV4(0x0a000009), 80};
 const target_reports_settings kSettings{"desk", kTarget, milliseconds(2000),
-                                        milliseconds(1500)};
+                                        milliseconds(1500),
+                                        milliseconds(60000)};
 
 // The clock of the daemon's VM.
 constexpr wall_time kWall{std::chrono::seconds(1700000000)};
@@ -89,8 +90,9 @@
   cr_expect(reports.status().condition == target_condition::kReady);
 }
 
-Test(target_reports, a_daemon_without_any_report_has_no_target) {
+Test(target_reports, a_daemon_without_listener_and_report_has_no_target) {
   target_reports reports(kSettings, time_point());
+  reports.OnNoListener(kWall);
   cr_expect(!reports.ended());
   cr_expect(!reports.Tick(time_point(milliseconds(1499))));
   cr_expect(reports.status().condition == target_condition::kUnreported);
@@ -106,6 +108,25 @@
 // Guards against resets of open flows after a restart of the daemon: reports
 // were taken for the first ones of their target by their sequence, and nothing
 // says with which one a target begins.
+// Guards against resets of open flows at a target whose first report to a
+// restarted daemon is late: two report intervals without one passed for the
+// absence of a target.
+Test(target_reports, a_target_that_may_be_running_stays_unreported) {
+  target_reports reports(kSettings, time_point());
+  cr_expect(!reports.Tick(time_point(milliseconds(1500))));
+  cr_expect(!reports.Tick(time_point(milliseconds(59999))));
+  cr_expect(reports.status().condition == target_condition::kUnreported);
+  cr_expect(!reports.ended());
+  // It ended without a report.
+  target_reports later = reports;
+  later.OnNoListener(kWall);
+  cr_expect(later.Tick(time_point(milliseconds(59999))));
+  cr_expect(later.status().condition == target_condition::kAbsent);
+  // Its flows from before the daemon's start are over.
+  cr_expect(reports.Tick(time_point(milliseconds(60000))));
+  cr_expect(reports.status().condition == target_condition::kAbsent);
+}
+
 Test(target_reports, no_sequence_shows_that_the_start_was_observed) {
   for (const std::uint64_t sequence : {0U, 1U, 2U, 40U}) {
     target_reports reports(kSettings, time_point());
--- a/tests/steering/schedule_test.cc
+++ b/tests/steering/schedule_test.cc
@@ -25,6 +25,24 @@
   });
 }
 
+// Guards against resets of open flows at a target that reports late to a daemon
+// that restarted beside it: the daemon announced after two report intervals
+// that it had no target, so searches passed it by.
+Test(schedule, holds_its_invariants_with_late_first_reports) {
+  test::CheckProperty("random schedules of late reports", [] {
+    simulation_settings settings;
+    settings.seed = *rc::gen::arbitrary<std::uint64_t>();
+    settings.balancers = *rc::gen::inRange<std::size_t>(1, 5);
+    settings.target_vms = *rc::gen::inRange<std::size_t>(2, 9);
+    settings.fault_rate = static_cast<double>(*rc::gen::inRange(1, 12));
+    settings.max_first_report = std::chrono::seconds(4);
+    steering_simulation simulation(settings);
+    const std::string failed = simulation.Run();
+    RC_LOG() << "seed " << settings.seed << ": " << failed;
+    RC_ASSERT(failed.empty());
+  });
+}
+
 // With more targets than one search visits: registrations and searches in parts
 // are under way during the faults.
 Test(schedule, holds_its_invariants_among_many_targets) {
--- a/tests/steering/steering_simulation.cc
+++ b/tests/steering/steering_simulation.cc
@@ -50,6 +50,7 @@
   };
   std::string service;
   std::uint64_t start = 0;
+  std::uint64_t sequence = 0;  // of the next report
   bool draining = false;
   bool refuses = false;  // returns openings
   std::map<std::uint64_t, held_flow> flows;
@@ -72,8 +73,9 @@
   std::unique_ptr<server> target;
   std::unique_ptr<claim_listener> listener;
   std::unique_ptr<segment_owner> daemon;
+  std::unique_ptr<target_reports> reports;  // of this start of the daemon
   node_record record;
-  bool started_before_target = false;    // the daemon started first
+  std::uint64_t last_start = 0;          // of all targets so far
   bool draining_reported = false;        // reported to the daemon
   bool cut_off = false;                  // the network drops all messages
   std::uint64_t daemon_number = 0;       // starts of the daemon so far
@@ -153,7 +155,7 @@
   for (std::size_t number = 0; number < target_vms_.size(); ++number) {
     const auto start = [this, number] {
       target_vm* each = target_vms_[number].get();
-      StartDaemon(each, true);
+      StartDaemon(each);
       StartServer(each, Services()[number % 3 == 2 ? 1 : 0]);
     };
     if (settings_.start_spread == duration::zero()) {
@@ -224,7 +226,7 @@
   for (const auto& each : target_vms_) {
     if (each->daemon == nullptr) continue;
     CrashServer(each.get());
-    StartDaemon(each.get(), true);
+    StartDaemon(each.get());
     StartServer(each.get(), each->record.service);
   }
 }
@@ -246,7 +248,7 @@
         break;
       case 1:
       case 2:  // the daemon restarts, the target runs on
-        StartDaemon(where, target == nullptr);
+        StartDaemon(where);
         break;
       case 3:  // the target crashes and starts again
         CrashServer(where);
@@ -272,7 +274,7 @@
         CrashServer(where);
         const std::string other = Services()[RandomBelow(Services().size())];
         where->record.service = other;
-        StartDaemon(where, true);
+        StartDaemon(where);
         StartServer(where, other);
         break;
       }
@@ -329,8 +331,7 @@
   }
 }
 
-void steering_simulation::StartDaemon(target_vm* where,
-                                      bool started_before_target) {
+void steering_simulation::StartDaemon(target_vm* where) {
   if (where->record.service.empty()) {
     const std::size_t number = where->where.address.bytes[15];
     where->record.service = Services()[number % 3 == 2 ? 1 : 0];
@@ -349,7 +350,13 @@
   where->seen.clear();
   const std::uint64_t number = ++where->daemon_number;
   ScheduleConfirmation(where);
-  where->started_before_target = started_before_target;
+  target_reports_settings report_settings;
+  report_settings.service = where->record.service;
+  report_settings.where = where->where;
+  report_settings.first_report_timeout = kFirstReportLimit;
+  report_settings.max_flow_age = settings.max_flow_age;
+  where->reports = std::make_unique<target_reports>(report_settings, now_);
+  ProbeTarget(where);
   where->draining_reported = false;
   where->record.where = where->where;
   where->record.zone = "a";
@@ -363,27 +370,48 @@
     if (each->daemon == nullptr) continue;
     SendEntryToDaemon(where, *each);
   }
-  ScheduleAfter(RandomDuration(milliseconds(300)),
+  ScheduleAfter(RandomDuration(settings_.max_first_report),
                 [this, where] { ReportTarget(where); });
   ScheduleAfter(kFirstReportLimit, [this, where, number] {
-    if (where->daemon_number != number ||
-        where->record.condition != target_condition::kUnreported)
-      return;
-    target_status status;
-    status.condition = target_condition::kAbsent;
-    where->daemon->SetTargetStatus(status, now_);
-    where->record.condition = status.condition;
-    PublishRecord(
-        where, where->cut_off ? node_liveness::kSilent : node_liveness::kAlive);
+    if (where->daemon_number == number) AwaitFirstReport(where);
   });
 }
 
+void steering_simulation::ProbeTarget(target_vm* where) {
+  if (where->target == nullptr) where->reports->OnNoListener(WallNow());
+}
+
+// Announces that there is no target if that is known, else probes for it again
+// and again until its first report.
+void steering_simulation::AwaitFirstReport(target_vm* where) {
+  if (where->reports->status().condition != target_condition::kUnreported)
+    return;
+  ProbeTarget(where);
+  if (!where->reports->Tick(now_)) {
+    ScheduleAfter(kFirstReportLimit,
+                  [this, where, number = where->daemon_number] {
+                    if (where->daemon_number == number) AwaitFirstReport(where);
+                  });
+    return;
+  }
+  where->daemon->SetTargetStatus(where->reports->status(), now_);
+  where->record.condition = where->reports->status().condition;
+  PublishRecord(
+      where, where->cut_off ? node_liveness::kSilent : node_liveness::kAlive);
+}
+
 void steering_simulation::StartServer(target_vm* where,
                                       const std::string& service) {
   where->target = std::make_unique<server>();
   where->target->service = service;
-  where->target->start =
-      static_cast<std::uint64_t>(now_.time_since_epoch() / milliseconds(1));
+  // After the daemon's probe, which may have been in this millisecond.
+  where->last_start =
+      std::max(where->last_start + 1,
+               static_cast<std::uint64_t>(
+                   now_.time_since_epoch() / milliseconds(1) + 1));
+  where->target->start = where->last_start;
+  // Targets differ in where their sequence begins.
+  where->target->sequence = where->last_start % 3;
   ScheduleAfter(RandomDuration(milliseconds(300)),
                 [this, where] { ReportTarget(where); });
 }
@@ -395,14 +423,19 @@
 // The target reports to its daemon, which publishes its record; again every
 // 300 ms while both run.
 void steering_simulation::ReportTarget(target_vm* where) {
-  const server* target = where->target.get();
+  server* target = where->target.get();
   if (target == nullptr || target->service != where->record.service) return;
-  target_status status;
-  status.condition =
-      target->draining ? target_condition::kDraining : target_condition::kReady;
-  status.slots = 2;
-  status.target_start = target->start;
-  status.saw_target_start = where->started_before_target;
+  target_report report;
+  report.service = target->service;
+  report.where = where->where;
+  report.start = target->start;
+  report.sequence = target->sequence++;
+  report.draining = target->draining;
+  report.slots = 2;
+  const result_code code = where->reports->OnReport(report, now_, WallNow());
+  assert(code == result_code::kOk);
+  target_status status = where->reports->status();
+  status.saw_target_start = where->reports->saw_start();
   where->daemon->SetTargetStatus(status, now_);
   where->draining_reported = target->draining;
   where->record.condition = status.condition;
--- a/tests/steering/steering_simulation.h
+++ b/tests/steering/steering_simulation.h
@@ -16,6 +16,7 @@
 
 #include "steering/segments.h"
 #include "tamaracklatch/core/random.h"
+#include "tamaracklatch/membership/target_reports.h"
 #include "tamaracklatch/steering/segment_owner.h"
 #include "tamaracklatch/steering/segment_router.h"
 
@@ -34,6 +35,9 @@
   duration start_spread{0};
   // The balancers in rotation change this often; 0: only by faults.
   duration rotation_interval{0};
+  // The first report of a target that runs when its daemon starts comes within
+  // this time.
+  duration max_first_report = std::chrono::milliseconds(300);
   // All targets and target daemons end and start again at this time after the
   // start; 0: never.
   duration power_loss_at{0};
@@ -97,7 +101,9 @@
   void LosePower();
   void StartServer(target_vm* where, const std::string& service);
   void CrashServer(target_vm* where);
-  void StartDaemon(target_vm* where, bool started_before_target);
+  void StartDaemon(target_vm* where);
+  void ProbeTarget(target_vm* where);
+  void AwaitFirstReport(target_vm* where);
   void ReportTarget(target_vm* where);
   void RouteHeldSegments(std::size_t number);
   void PublishRecord(target_vm* where, node_liveness liveness);
@@ -125,6 +131,7 @@
   void OnServerReceives(target_vm* at, const std::string& bytes);
   void Answer(target_vm* at, const std::string& bytes, duration delay);
 
+  wall_time WallNow() const { return wall_time(now_.time_since_epoch()); }
   bool RandomBool(double share);
   duration RandomDuration(duration most);
   std::size_t RandomBelow(std::size_t bound);
