--- a/src/daemon/listener_probe.cc
+++ b/src/daemon/listener_probe.cc
@@ -36,17 +36,18 @@
                            std::chrono::milliseconds limit, handler on_result) {
   assert(!on_result_);
   on_result_ = std::move(on_result);
+  const std::uint64_t number = ++number_;
   timer_.expires_after(limit);
-  timer_.async_wait([this](asio::error_code error) {
-    if (!error) Finish(probe_result::kUnknown);
+  timer_.async_wait([this, number](asio::error_code error) {
+    if (!error) Finish(number, probe_result::kUnknown);
   });
-  socket_.async_connect(ToTcp(where), [this](asio::error_code error) {
-    Finish(ResultOf(error));
+  socket_.async_connect(ToTcp(where), [this, number](asio::error_code error) {
+    Finish(number, ResultOf(error));
   });
 }
 
-void listener_probe::Finish(probe_result result) {
-  if (!on_result_) return;
+void listener_probe::Finish(std::uint64_t number, probe_result result) {
+  if (number != number_ || !on_result_) return;
   asio::error_code ignored;
   timer_.cancel();
   socket_.close(ignored);
--- a/src/daemon/listener_probe.h
+++ b/src/daemon/listener_probe.h
@@ -33,11 +33,12 @@
   bool IsRunning() const { return static_cast<bool>(on_result_); }
 
  private:
-  void Finish(probe_result result);
+  void Finish(std::uint64_t number, probe_result result);
 
   asio::ip::tcp::socket socket_;
   asio::steady_timer timer_;
-  handler on_result_;  // empty: no probe is in progress
+  handler on_result_;         // empty: no probe is in progress
+  std::uint64_t number_ = 0;  // of the last probe; outdates earlier handlers
 };
 
 }  // namespace tamaracklatch
--- a/tests/daemon/listener_probe_test.cc
+++ b/tests/daemon/listener_probe_test.cc
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 
 #include <optional>
+#include <vector>
 
 #include "transport/link.h"
 
@@ -16,17 +17,17 @@
 
 struct probe_fixture {
   probe_result Probe(std::uint16_t port, milliseconds limit) {
-    listener_probe probe(&loop);
     std::optional<probe_result> found;
     probe.Start({MakeV4(0x7f000001), port}, limit,
                 [&](probe_result result) { found = result; });
     loop.restart();
     loop.run();
-    cr_assert(found.has_value());
+    cr_assert(found.has_value() && !probe.IsRunning());
     return *found;
   }
 
   asio::io_context loop;
+  listener_probe probe{&loop};
   tcp::acceptor acceptor{loop,
                          tcp::endpoint(asio::ip::address_v4::loopback(), 0)};
   std::uint16_t port = acceptor.local_endpoint().port();
@@ -60,6 +61,10 @@
     found = fixture.Probe(fixture.port, milliseconds(50));
   }
   cr_expect(found == probe_result::kUnknown);
+  // What is left of that probe does not end the next one.
+  fixture.acceptor.close();
+  cr_expect(fixture.Probe(fixture.port, milliseconds(10000)) ==
+            probe_result::kNoListener);
 }
 
 }  // namespace
