Test daemons of one 64-bit tag and names of one 64-bit hash; reword comments

directory/sees_that_two_targets_share_a_tag had been replaced, since no two daemons of one 64-bit tag were known, and left the checks for that in AllVisited and AllAmong without a test.

Comments that told what earlier code did say what must hold.

--- a/include/tamaracklatch/steering/steering_header.h
+++ b/include/tamaracklatch/steering/steering_header.h
@@ -73,8 +73,8 @@
   endpoint collector;  // kSegment with parts: receives kPartEnded
   std::uint8_t service_count = 0;
   std::uint8_t visit_count = 0;
-  // The services whose targets may own the flow. services[0] is the one chosen
-  // for the flow; only its targets may accept the opening.
+  // The services whose targets may own the flow. Only targets of services[0]
+  // may accept its opening.
   std::array<service_digest, kMaxSteeringServices> services{};
   // Tags of the target daemons visited so far.
   std::array<std::uint64_t, kMaxSteeringVisits> visits{};
--- a/src/steering/steering_header.cc
+++ b/src/steering/steering_header.cc
@@ -4,8 +4,8 @@
 //   owners 2, service count 1, visit count 1, receiver 8 (kSegment only), parts
 //   1 (kSegment and kPartEnded), part 1 (with parts), collector 18 (kSegment
 //   with parts), target start 8 (kOwner only), services 16 each, visits 8 each.
-// Headers of other versions are refused: up to version 2 services and visits
-// were 32-bit hashes, which can't be translated.
+// Headers of other versions are refused: they identify services and visits in
+// ways that can't be translated.
 #include "tamaracklatch/steering/steering_header.h"
 
 #include <algorithm>
@@ -20,8 +20,7 @@
 namespace {
 
 constexpr std::uint8_t kMagic = 0x5a;
-// The last one that two bits can tell from the earlier ones; the next format
-// takes another magic number.
+// The largest value of its two bits: another format needs another magic number.
 constexpr std::uint8_t kVersion = 3;
 
 constexpr std::uint8_t kKindMask = 0x07;
--- a/tests/membership/target_reports_test.cc
+++ b/tests/membership/target_reports_test.cc
@@ -105,12 +105,10 @@
   cr_expect(!reports.saw_start());
 }
 
-// Guards against resets of open flows after a restart of the daemon: reports
-// were taken for the first ones of their target by their sequence, and nothing
-// says with which one a target begins.
+// Guards against resets of open flows after a restart of the daemon: a target
+// may begin with any sequence.
 // Guards against resets of open flows at a target whose first report to a
-// restarted daemon is late: two report intervals without one passed for the
-// absence of a target.
+// restarted daemon is late: a missing report proves no absence.
 Test(target_reports, a_target_that_may_be_running_stays_unreported) {
   target_reports reports(kSettings, time_point());
   cr_expect(!reports.Tick(time_point(milliseconds(1500))));
--- a/tests/steering/schedule_test.cc
+++ b/tests/steering/schedule_test.cc
@@ -26,8 +26,7 @@
 }
 
 // Guards against resets of open flows at a target that reports late to a daemon
-// that restarted beside it: the daemon announced after two report intervals
-// that it had no target, so searches passed it by.
+// that restarted beside it: searches must not pass that daemon by.
 Test(schedule, holds_its_invariants_with_late_first_reports) {
   test::CheckProperty("random schedules of late reports", [] {
     simulation_settings settings;
--- a/tests/steering/segment_owner_test.cc
+++ b/tests/steering/segment_owner_test.cc
@@ -684,9 +684,8 @@
   cr_assert(fixture.DiscardReason() == result_code::kEnvelopeMalformed);
 }
 
-// Guards against resets of open flows after a restart of the daemon: where the
-// target's sequence began at 0, its second report passed for its first one, and
-// the empty flow table for a complete one.
+// Guards against resets of open flows after a restart of the daemon, whose flow
+// table is empty and not complete, whatever the sequence of the first report.
 Test(owner, asks_a_running_target_about_flows_opened_before_its_own_start) {
   constexpr wall_time kWall{seconds(1700000000)};
   for (const std::uint64_t first_sequence : {0U, 1U, 2U, 9U}) {
--- a/tests/steering/service_identity_test.cc
+++ b/tests/steering/service_identity_test.cc
@@ -1,5 +1,5 @@
 // Tests that a segment reaches only targets of the services that its route
-// names, for names that short hashes can't tell apart.
+// names, also where short hashes of the names are equal.
 #include <fmt/format.h>
 
 #include <string>
@@ -7,6 +7,7 @@
 
 #include "steering/segments.h"
 #include "support/property.h"
+#include "tamaracklatch/core/hash.h"
 #include "tamaracklatch/steering/segment_owner.h"
 #include "tamaracklatch/steering/segment_router.h"
 
@@ -28,13 +29,14 @@
   const char* second;
 };
 
-// Pairs of names whose 64-bit hashes agree in the low or in the high 32 bits.
+// Pairs of names whose 64-bit hashes agree in the bits named.
 constexpr name_pair kPairs[] = {
-    {"stockstats-main", "tool-map-v1"},       // low
-    {"docs-search-v18", "garland-hold-v30"},  // low
-    {"lake-map-v6", "rack-tree-v106"},        // low
-    {"map-glass-v25", "rack-compost-v168"},   // high
-    {"boat-user-v140", "crew-paper-v146"},    // high
+    {"stockstats-main", "tool-map-v1"},       // low half
+    {"docs-search-v18", "garland-hold-v30"},  // low half
+    {"lake-map-v6", "rack-tree-v106"},        // low half
+    {"map-glass-v25", "rack-compost-v168"},   // high half
+    {"boat-user-v140", "crew-paper-v146"},    // high half
+    {"yppktdlvoqbrhc", "hbbjvliljxgukd"},     // all
 };
 
 // A set with a route for each of two services.
@@ -47,8 +49,18 @@
   return set;
 }
 
-// Guards against requests run by another service whose name has the same hash:
-// with 32-bit tags a balancer listed both services' targets as one service.
+Test(service_identity, pairs_agree_in_a_half_of_their_hashes) {
+  for (const name_pair& names : kPairs) {
+    const std::uint64_t differing =
+        HashText(names.first) ^ HashText(names.second);
+    cr_assert(differing <= UINT32_MAX || (differing & UINT32_MAX) == 0, "%s",
+              names.first);
+    cr_assert(DigestService(names.first) != DigestService(names.second));
+  }
+}
+
+// Guards against requests run by another service whose name has the same short
+// hash, at balancers: they must list the targets of the two apart.
 Test(service_identity, openings_are_placed_at_their_own_service) {
   for (const name_pair& names : kPairs) {
     segment_router_settings settings;
@@ -72,8 +84,8 @@
   }
 }
 
-// Guards against the same at a target daemon: it compared 32-bit tags only, so
-// its target took openings and unknown flows of the other service.
+// Guards against the same at target daemons, whose target must get neither
+// openings nor unknown flows of the other service.
 Test(service_identity, targets_take_segments_of_their_own_service) {
   for (const name_pair& names : kPairs) {
     plain_codec codec;
--- a/tests/steering/steering_header_test.cc
+++ b/tests/steering/steering_header_test.cc
@@ -134,7 +134,7 @@
 };
 
 // Guards against misreading the header of another version while nodes are
-// rolled: versions 1 and 2 had 32-bit tags in place of the longer identities.
+// rolled: versions 1 and 2 have 32-bit tags in place of the longer identities.
 Test(steering_header, of_another_version_is_refused) {
   const std::string common(
       "\x11\x12\x13\x14\x15\x16\x17\x18"  // flow
@@ -153,8 +153,8 @@
   const std::string identities(
       "\x21\x22\x23\x24\x25\x26\x27\x28"   // receiver
       "\x00"                               // parts
-      "\xf8\xe4\x76\xc1\x0b\x18\xb1\xd6"   // service "desk", first half
-      "\xd0\xf6\xdd\xfd\x7b\xa5\xda\x1e"   // service, second half
+      "\xf8\xe4\x76\xc1\x0b\x18\xb1\xd6"   // service "desk", bytes 0 to 7
+      "\xd0\xf6\xdd\xfd\x7b\xa5\xda\x1e"   // service, bytes 8 to 15
       "\x41\x42\x43\x44\x45\x46\x47\x48",  // visit
       33);
   const std::string data(64, 'd');  // a segment, which makes up for the length
--- a/tests/steering/target_directory_test.cc
+++ b/tests/steering/target_directory_test.cc
@@ -285,13 +285,34 @@
   }
 }
 
+// One visit must not stand for two daemons, even if their tags are equal.
+Test(directory, sees_that_two_targets_share_a_tag) {
+  roster_entry one = TargetAt(1, "web");
+  one.record.generation = 5758190309093725407;
+  roster_entry twin = TargetAt(2, "web");
+  twin.record.generation = 2748867406401299778;
+  const std::uint64_t tag = NodeTag(one.record.where, one.record.generation);
+  cr_assert(tag == NodeTag(twin.record.where, twin.record.generation));
+  target_directory directory("a", kMaxFlowAge);
+  directory.Update(one, kStart);
+  steering_header header = HeaderOf(1);
+  header.AddVisit(tag);
+  directory.ListOwners(header, kStart);
+  cr_assert(directory.AllVisited(header));
+  cr_assert(directory.AllAmong({tag}));
+  directory.Update(twin, kStart);
+  directory.ListOwners(header, kStart);
+  cr_assert(!directory.AllVisited(header));
+  cr_assert(!directory.AllAmong({tag}));
+}
+
 struct twin_row {
   const char* name;
   unsigned shift;  // of the 32 bits in which the tags of two daemons agree
 };
 
-// Guards against a visit that stands for two daemons: with 32-bit tags, a
-// search that had been at one of these took the other for visited.
+// Guards against searches that pass the owner of a flow by, because a visit of
+// another daemon stands for it.
 Test(directory, counts_no_visit_for_a_daemon_with_half_of_its_tag) {
   for (const twin_row& row : {twin_row{"low half", 0}, {"high half", 32}}) {
     std::uint32_t number = 0;
