Ask silent daemons whose target may be running

Cause: a daemon that ended before its target's first report counted as no possible owner unless the node knew of an earlier start of it with a target; a node that started later does not know of one, and refused a first copy alone. Change: a node record says whether a target that ran before the daemon may hold flows, until a probe finds no listener. One byte a record; absent in records of other versions, which then count as possible owners.

--- a/include/tamaracklatch/roster/node_record.h
+++ b/include/tamaracklatch/roster/node_record.h
@@ -66,6 +66,9 @@
   duration cold_remaining{0};
   // Start of the target, in milliseconds of its wall clock; 0 while absent.
   std::uint64_t target_start = 0;
+  // While unreported: a target that was running before the daemon may hold
+  // flows. Also true where the record does not tell.
+  bool may_have_target = true;
 
   // Whether both records are from the same start of the same node.
   bool IsSameStart(const node_record& other) const {
--- a/src/daemon/steering_target.cc
+++ b/src/daemon/steering_target.cc
@@ -314,7 +314,12 @@
 }
 
 void steering_target::OnProbed(wall_time begun, probe_result result) {
-  if (result == probe_result::kNoListener) reports_.OnNoListener(begun);
+  if (result == probe_result::kNoListener) {
+    reports_.OnNoListener(begun);
+    node_record own = roster_.member().local_record();
+    own.may_have_target = false;
+    roster_.SetOwn(own);
+  }
   if (reported_probe_ == result) return;
   reported_probe_ = result;
   event what;
--- a/src/roster/roster_hub.cc
+++ b/src/roster/roster_hub.cc
@@ -42,7 +42,8 @@
   return left.role == right.role && left.zone == right.zone &&
          left.leaving == right.leaving && left.operators == right.operators &&
          left.service == right.service && left.condition == right.condition &&
-         left.slots == right.slots && left.target_start == right.target_start;
+         left.slots == right.slots && left.target_start == right.target_start &&
+         left.may_have_target == right.may_have_target;
 }
 
 bool IsSmallLoadChange(const node_record& record, std::uint32_t published) {
--- a/src/roster/roster_member.cc
+++ b/src/roster/roster_member.cc
@@ -43,7 +43,8 @@
 
 bool IsUrgent(const node_record& from, const node_record& to) {
   return from.condition != to.condition || from.service != to.service ||
-         from.leaving != to.leaving || from.target_start != to.target_start;
+         from.leaving != to.leaving || from.target_start != to.target_start ||
+         from.may_have_target != to.may_have_target;
 }
 
 }  // namespace
--- a/src/roster/roster_messages.cc
+++ b/src/roster/roster_messages.cc
@@ -87,6 +87,11 @@
 
 constexpr std::size_t kRecordElements = 15;
 
+// node_record::may_have_target is the last element of the arrays that hold a
+// record, and absent in those of versions that don't know it.
+constexpr std::size_t kAnnouncedElements = kRecordElements + 1;
+constexpr std::size_t kEntryElements = kRecordElements + 2;
+
 // Writes kRecordElements elements into the array that the caller began.
 void WriteRecord(wire_writer* writer, const node_record& record,
                  duration cold) {
@@ -164,8 +169,9 @@
   writer.Number(message.stamp);
   WriteDuration(&writer, message.stamp_age);
   writer.Number(message.position);
-  writer.Array(kRecordElements);
+  writer.Array(kAnnouncedElements);
   WriteRecord(&writer, message.record, message.record.cold_remaining);
+  writer.Flag(message.record.may_have_target);
   writer.Array(message.conflicts.size());
   for (const generation_conflict& conflict : message.conflicts) {
     writer.Array(3);
@@ -187,8 +193,10 @@
   message.stamp = reader.Number();
   message.stamp_age = ReadDuration(&reader);
   message.position = reader.Number();
-  reader.Array();
+  const std::size_t elements = reader.Array();
   bool is_valid = ReadRecord(&reader, &message.record);
+  if (elements >= kAnnouncedElements)
+    message.record.may_have_target = reader.Flag();
   reader.Leave();
   const std::size_t conflicts = reader.Array();
   is_valid = is_valid && conflicts <= kMaxConflicts;
@@ -334,11 +342,13 @@
   entries.reserve(std::min<std::size_t>(count, 64));
   for (std::size_t i = 0; i < count && reader.ok(); ++i) {
     update_entry entry;
-    reader.Array();
+    const std::size_t elements = reader.Array();
     if (!ReadRecord(&reader, &entry.record))
       return Malformed("entry", last_failure);
     entry.liveness = static_cast<node_liveness>(
         reader.NumberUpTo(static_cast<std::uint64_t>(node_liveness::kGone)));
+    if (elements >= kEntryElements)
+      entry.record.may_have_target = reader.Flag();
     reader.Leave();
     if ((entry.liveness == node_liveness::kGone) != entry.record.leaving)
       return Malformed("entry", last_failure);
@@ -352,9 +362,10 @@
 bool entry_writer::Add(const node_record& record, node_liveness liveness,
                        duration cold) {
   wire_writer writer;
-  writer.Array(kRecordElements + 1);
+  writer.Array(kEntryElements);
   WriteRecord(&writer, record, cold);
   writer.Number(static_cast<std::uint64_t>(liveness));
+  writer.Flag(record.may_have_target);
   const std::string_view bytes = writer.bytes();
   // The header of the array takes up to five bytes.
   if (body_.size() + bytes.size() + 5 > kMaxEntryBytes) return false;
--- a/src/steering/target_directory.cc
+++ b/src/steering/target_directory.cc
@@ -62,6 +62,7 @@
   target.load = record.load;
   target.cold_until = entry.changed_at + record.cold_remaining;
   target.target_start = record.target_start;
+  target.may_have_target = record.may_have_target;
   if (record.target_start != 0) {
     target.last_start = record.target_start;
     target.previous_start = 0;
@@ -95,10 +96,11 @@
   // The daemon found no target and has had none since its start.
   if (target.condition == target_condition::kAbsent && target.last_start == 0)
     return false;
-  // The daemon ended before a target's first report, and no earlier start of it
-  // had a target.
+  // The daemon ended before a target's first report. No target ran before it,
+  // and no earlier start of it is known to have had one.
   if (target.condition == target_condition::kUnreported &&
-      target.liveness == node_liveness::kSilent && target.previous_start == 0)
+      target.liveness == node_liveness::kSilent && target.previous_start == 0 &&
+      !target.may_have_target)
     return false;
   if (target.liveness != node_liveness::kGone) return true;
   // The daemon left, but its target may still run.
--- a/src/steering/target_directory.h
+++ b/src/steering/target_directory.h
@@ -41,6 +41,7 @@
   std::uint32_t load = 0;   // in 1/256 of a slot, as last reported
   time_point cold_until;    // the target runs slowly until then
   std::uint64_t target_start = 0;  // as in node_record; 0 while absent
+  bool may_have_target = true;     // as in node_record
   // The last target_start that this start of the daemon reported; 0: none yet.
   std::uint64_t last_start = 0;
   // The last target_start that an earlier start of the daemon reported, if that
--- a/tests/roster/roster_messages_test.cc
+++ b/tests/roster/roster_messages_test.cc
@@ -38,7 +38,8 @@
          left.service == right.service && left.condition == right.condition &&
          left.slots == right.slots && left.load == right.load &&
          left.cold_remaining == right.cold_remaining &&
-         left.target_start == right.target_start;
+         left.target_start == right.target_start &&
+         left.may_have_target == right.may_have_target;
 }
 
 Test(roster_messages, reads_what_was_written) {
@@ -53,6 +54,7 @@
         announce.position = third;
         announce.record = MakeRecord(third, first % kMaxGeneration + 1);
         announce.record.leaving = flag;
+        announce.record.may_have_target = !flag;
         announce.conflicts.push_back({MakeRecord(third, 1).where, third});
         const auto read_announce = DecodeAnnounce(Encode(announce), nullptr);
         RC_ASSERT(read_announce.has_value());
@@ -83,6 +85,7 @@
         RC_ASSERT(entries.has_value() && entries->size() == 1U);
         RC_ASSERT((*entries)[0].liveness == liveness);
         RC_ASSERT((*entries)[0].record.cold_remaining == duration(third));
+        RC_ASSERT((*entries)[0].record.may_have_target == !flag);
       });
 }
 
@@ -110,6 +113,37 @@
   cr_expect(DecodeUpdate(bytes, nullptr).has_value());
 }
 
+// Guards against misreading the record of a version without may_have_target.
+Test(roster_messages, a_record_of_an_earlier_version_may_have_a_target) {
+  roster_announce announce;
+  announce.record = MakeRecord(1, 1);
+  announce.record.may_have_target = false;
+  std::string bytes = Encode(announce);
+  // The array of the record gets 15 elements; the last one stands before the
+  // empty list of conflicts.
+  const std::size_t head = bytes.find(std::string("\xdc\x00\x10", 3));
+  cr_assert(head != std::string::npos);
+  bytes.replace(head, 3, "\x9f");
+  bytes.erase(bytes.size() - 2, 1);
+  const auto read = DecodeAnnounce(bytes, nullptr);
+  cr_assert(read.has_value());
+  cr_expect(read->record.may_have_target);
+  announce.record.may_have_target = true;
+  cr_expect(IsSame(read->record, announce.record));
+
+  entry_writer writer;
+  announce.record.may_have_target = false;
+  cr_assert(writer.Add(announce.record, node_liveness::kSilent, duration(0)));
+  std::string entry = writer.Take();
+  cr_assert(entry.compare(0, 4, std::string("\x91\xdc\x00\x11", 4)) == 0);
+  entry[3] = '\x10';
+  entry.pop_back();
+  const auto entries = DecodeEntries(entry, nullptr);
+  cr_assert(entries.has_value() && entries->size() == 1);
+  cr_expect((*entries)[0].liveness == node_liveness::kSilent);
+  cr_expect((*entries)[0].record.may_have_target);
+}
+
 Test(roster_messages, the_first_byte_identifies_the_receiver) {
   struct row {
     std::string bytes;
--- a/tests/steering/schedule_test.cc
+++ b/tests/steering/schedule_test.cc
@@ -42,6 +42,30 @@
   });
 }
 
+// Guards against refusals of a first copy while another copy opens the flow at
+// a target whose restarted daemon is silent and has no report of it yet.
+Test(schedule, asks_silent_daemons_whose_target_may_run) {
+  struct row {
+    std::uint64_t seed;
+    std::size_t balancers;
+    std::size_t target_vms;
+    double fault_rate;
+  };
+  constexpr row kRows[] = {
+      {412, 1, 2, 2}, {22781, 2, 3, 2}, {26785419, 2, 3, 4}};
+  for (const row& each : kRows) {
+    simulation_settings settings;
+    settings.seed = each.seed;
+    settings.balancers = each.balancers;
+    settings.target_vms = each.target_vms;
+    settings.fault_rate = each.fault_rate;
+    settings.max_first_report = std::chrono::seconds(4);
+    steering_simulation simulation(settings);
+    const std::string failed = simulation.Run();
+    cr_expect(failed.empty(), "seed %lu: %s", each.seed, failed.c_str());
+  }
+}
+
 // With more targets than one search visits: registrations and searches in parts
 // are under way during the faults.
 Test(schedule, holds_its_invariants_among_many_targets) {
--- a/tests/steering/steering_simulation.cc
+++ b/tests/steering/steering_simulation.cc
@@ -378,6 +378,7 @@
 }
 
 void steering_simulation::ProbeTarget(target_vm* where) {
+  where->record.may_have_target = where->target != nullptr;
   if (where->target == nullptr) where->reports->OnNoListener(WallNow());
 }
 
--- a/tests/steering/target_directory_test.cc
+++ b/tests/steering/target_directory_test.cc
@@ -201,6 +201,7 @@
   node_liveness liveness;
   target_condition condition;
   std::uint64_t target_start;  // 0: no target has reported
+  bool may_have_target;        // before the daemon started
   bool may_own;
 };
 
@@ -208,21 +209,24 @@
   constexpr auto kUnreported = target_condition::kUnreported;
   constexpr auto kReady = target_condition::kReady;
   constexpr auto kAbsent = target_condition::kAbsent;
-  const owner_row rows[] = {{node_liveness::kAlive, kReady, 100, true},
-                            {node_liveness::kAlive, kUnreported, 0, true},
-                            {node_liveness::kAlive, kAbsent, 0, false},
-                            {node_liveness::kSilent, kReady, 100, true},
-                            {node_liveness::kSilent, kUnreported, 0, false},
-                            {node_liveness::kSilent, kAbsent, 0, false},
-                            {node_liveness::kGone, kReady, 100, true},
-                            {node_liveness::kGone, kUnreported, 0, true},
-                            {node_liveness::kGone, kAbsent, 0, false}};
+  const owner_row rows[] = {
+      {node_liveness::kAlive, kReady, 100, false, true},
+      {node_liveness::kAlive, kUnreported, 0, false, true},
+      {node_liveness::kAlive, kAbsent, 0, false, false},
+      {node_liveness::kSilent, kReady, 100, false, true},
+      {node_liveness::kSilent, kUnreported, 0, false, false},
+      {node_liveness::kSilent, kUnreported, 0, true, true},
+      {node_liveness::kSilent, kAbsent, 0, false, false},
+      {node_liveness::kGone, kReady, 100, false, true},
+      {node_liveness::kGone, kUnreported, 0, false, true},
+      {node_liveness::kGone, kAbsent, 0, false, false}};
   for (const owner_row& row : rows) {
     target_directory directory("a", kMaxFlowAge);
     roster_entry entry = TargetAt(1, "web");
     entry.liveness = row.liveness;
     entry.record.target_start = row.target_start;
     entry.record.condition = row.condition;
+    entry.record.may_have_target = row.may_have_target;
     directory.Update(entry, kStart);
     const owner_search& search = directory.ListOwners(HeaderOf(1), kStart);
     cr_assert((search.size() == 1) == row.may_own);
@@ -264,6 +268,7 @@
       ++entry.record.generation;
       entry.record.condition = kUnreported;
       entry.record.target_start = 0;
+      entry.record.may_have_target = false;
       entry.liveness = kSilent;
       directory.Update(entry, kStart);
       const owner_search& search = directory.ListOwners(HeaderOf(1), kStart);
