Pass on no reset that a target sends for a flow it does not hold

Target daemons passed every reset of their target on, also for flows that they do not know and for openings whose answer the caller has not accepted. Change: such a reset is discarded, with one event, if the flow is pending at the daemon, or unknown to a daemon that found no listener at its start or whose flow table is complete. Where the target ran before its daemon, it is passed on.

Add the types of the placement rules and the calls that take them; nothing sets them yet.

--- a/include/tamaracklatch/control/document_set.h
+++ b/include/tamaracklatch/control/document_set.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "tamaracklatch/control/placement_rules.h"
 #include "tamaracklatch/core/endpoint.h"
 #include "tamaracklatch/core/result_code.h"
 #include "tamaracklatch/core/time.h"
@@ -32,6 +33,9 @@
   std::string name;
   endpoint where;  // the address that callers use
   std::vector<service_share> shares;
+  std::uint8_t urgency = 3;  // of its flows, 0 (most urgent) to 7
+  // The latency in which its requests should be answered; 0: not stated.
+  duration target_latency{0};
 
   friend bool operator==(const set_route& left, const set_route& right) {
     return left.name == right.name && left.where == right.where &&
@@ -48,6 +52,7 @@
   std::uint64_t version = 0;
   std::vector<set_route> routes;
   std::vector<std::string> services;
+  std::vector<cold_limit> cold_limits;  // sorted by service, without duplicates
   // A flow without traffic for this long may be evicted; 0: never.
   duration idle_timeout{0};
 };
--- a/include/tamaracklatch/steering/segment_owner.h
+++ b/include/tamaracklatch/steering/segment_owner.h
@@ -19,6 +19,7 @@
 #include <variant>
 #include <vector>
 
+#include "tamaracklatch/control/placement_rules.h"
 #include "tamaracklatch/core/event.h"
 #include "tamaracklatch/roster/node_record.h"
 #include "tamaracklatch/steering/segment.h"
@@ -122,8 +123,14 @@
   // The target's status, with each report. A new `target_start` marks the flows
   // of the earlier start as suspect.
   void SetTargetStatus(const target_status& status, time_point now);
+  // Nothing listened at the target's address after this daemon had begun to
+  // receive its segments, so a target that starts later has no flows that the
+  // daemon does not know.
+  void OnNoListener() { found_no_listener_ = true; }
   // A roster entry that was added or has changed; other roles are ignored.
   void UpdateTarget(const roster_entry& entry, time_point now);
+  // Replaces the placement rules; rules with a lower revision are ignored.
+  void SetPlacementRules(const placement_rules& rules);
   // The idle timeout in the current document set; 0: none.
   void SetIdleTimeout(duration limit) { idle_timeout_ = limit; }
   // Whether a hub updated this node's roster within the time in which a joined
@@ -184,6 +191,8 @@
   void Reset(const segment& received, result_code reason, actions* out);
   void Discard(result_code reason, actions* out);
   void RemoveFlow(const owned_flow& flow, result_code reason);
+  bool IsForeignReset(const segment& received, const owned_flow* flow,
+                      time_point now) const;
   bool IsFlowTableIncomplete(time_point now) const {
     return now < flow_table_incomplete_until_;
   }
@@ -205,6 +214,7 @@
   time_point absence_known_until_;
   // Until then the target may hold flows that the flow table does not have.
   time_point flow_table_incomplete_until_;
+  bool found_no_listener_ = false;  // OnNoListener was called
   duration idle_timeout_{0};
   bool roster_confirmed_ = false;
   std::unique_ptr<target_directory> targets_;
--- a/include/tamaracklatch/steering/segment_router.h
+++ b/include/tamaracklatch/steering/segment_router.h
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "tamaracklatch/control/document_set.h"
+#include "tamaracklatch/control/placement_rules.h"
 #include "tamaracklatch/core/event.h"
 #include "tamaracklatch/roster/node_record.h"
 #include "tamaracklatch/steering/segment.h"
@@ -79,6 +80,9 @@
   // more.
   void SetRoutes(const document_set& set, time_point now);
 
+  // Replaces the placement rules; rules with a lower revision are ignored.
+  void SetPlacementRules(const placement_rules& rules);
+
   // A roster entry of a target daemon was added or has changed, also to kGone;
   // other roles are ignored.
   void UpdateTarget(const roster_entry& entry, time_point now);
--- a/src/daemon/roster_agent.h
+++ b/src/daemon/roster_agent.h
@@ -20,6 +20,7 @@
   virtual ~roster_listener() = default;
   virtual void OnRosterChanged(const roster_entry& entry) = 0;
   virtual void OnSetReceived(const document_set& set) = 0;
+  virtual void OnPlacementRules(const placement_rules& rules) = 0;
 };
 
 // The own record of a process that starts now.
--- a/src/daemon/steering_balancer.cc
+++ b/src/daemon/steering_balancer.cc
@@ -86,6 +86,10 @@
   frame_.events().OnEvent(what);
 }
 
+void steering_balancer::OnPlacementRules(const placement_rules& rules) {
+  router_.SetPlacementRules(rules);
+}
+
 void steering_balancer::OnSegment(const endpoint&, std::string_view bytes) {
   failure why;
   const auto what = codec_->Decode(bytes, false, &why);
--- a/src/daemon/steering_balancer.h
+++ b/src/daemon/steering_balancer.h
@@ -47,6 +47,7 @@
 
   void OnRosterChanged(const roster_entry& entry) override;
   void OnSetReceived(const document_set& set) override;
+  void OnPlacementRules(const placement_rules& rules) override;
 
  private:
   void OnSegment(const endpoint& from, std::string_view bytes);
--- a/src/daemon/steering_control.h
+++ b/src/daemon/steering_control.h
@@ -56,6 +56,7 @@
 
   void OnRosterChanged(const roster_entry& entry) override;
   void OnSetReceived(const document_set&) override {}
+  void OnPlacementRules(const placement_rules&) override {}
 
   void OnApplied(const command_outcome& outcome,
                  const revision_changes& changes) override;
--- a/src/daemon/steering_target.cc
+++ b/src/daemon/steering_target.cc
@@ -162,6 +162,10 @@
   owner_.SetIdleTimeout(set.idle_timeout);
 }
 
+void steering_target::OnPlacementRules(const placement_rules& rules) {
+  owner_.SetPlacementRules(rules);
+}
+
 void steering_target::OnSteered(std::string_view bytes) {
   failure why;
   std::string_view rest;
@@ -316,6 +320,7 @@
 void steering_target::OnProbed(wall_time begun, probe_result result) {
   if (result == probe_result::kNoListener) {
     reports_.OnNoListener(begun);
+    owner_.OnNoListener();
     node_record own = roster_.member().local_record();
     own.may_have_target = false;
     roster_.SetOwn(own);
--- a/src/daemon/steering_target.h
+++ b/src/daemon/steering_target.h
@@ -61,6 +61,7 @@
 
   void OnRosterChanged(const roster_entry& entry) override;
   void OnSetReceived(const document_set& set) override;
+  void OnPlacementRules(const placement_rules& rules) override;
 
  private:
   void OnSteered(std::string_view bytes);
--- a/src/steering/segment_owner.cc
+++ b/src/steering/segment_owner.cc
@@ -112,6 +112,10 @@
   node_ = NodeTag(settings_.self, generation);
 }
 
+void segment_owner::SetPlacementRules(const placement_rules& rules) {
+  targets_->SetRules(rules);
+}
+
 void segment_owner::UpdateTarget(const roster_entry& entry, time_point now) {
   targets_->Update(entry, now);
 }
@@ -282,6 +286,15 @@
     Discard(result_code::kOtherTargetChosen, actions);
     return;
   }
+  if (IsForeignReset(received, flow, now)) {
+    if (reported_endings_->Insert(hash, now)) {
+      ReportEvent(event_id::kSegmentReset, hash, received.key,
+                  result_code::kNotThisTarget, "",
+                  "a reset by the target was not passed on");
+    }
+    Discard(result_code::kNotThisTarget, actions);
+    return;
+  }
   if (flow != nullptr && received.tcp.syn && !flow->answered)
     counters_.first_answer.Add(now - flow->opened);
   if (flow == nullptr && !received.tcp.rst) {
@@ -300,6 +313,18 @@
   actions->push_back(answer_caller{received.key, std::string(received.bytes)});
 }
 
+// Whether the segment is a reset of a flow that is not open at this target, but
+// may be open at another one: its caller has not accepted an answer of this
+// target, or the target started after this daemon, which does not know the
+// flow.
+bool segment_owner::IsForeignReset(const segment& received,
+                                   const owned_flow* flow,
+                                   time_point now) const {
+  if (!received.tcp.rst) return false;
+  if (flow != nullptr) return flow->phase == flow_phase::kPending;
+  return found_no_listener_ || !IsFlowTableIncomplete(now);
+}
+
 void segment_owner::OnReturned(const segment& received, time_point now,
                                std::vector<segment_action>* actions) {
   ++counters_.returned;
--- a/src/steering/segment_router.cc
+++ b/src/steering/segment_router.cc
@@ -151,6 +151,10 @@
   }
 }
 
+void segment_router::SetPlacementRules(const placement_rules& rules) {
+  targets_->SetRules(rules);
+}
+
 void segment_router::UpdateTarget(const roster_entry& entry, time_point now) {
   if (!targets_->Update(entry, now)) return;
   recent_openings_.resize(targets_->size());
--- a/src/steering/target_directory.cc
+++ b/src/steering/target_directory.cc
@@ -71,6 +71,10 @@
   return true;
 }
 
+void target_directory::SetRules(const placement_rules& rules) {
+  if (rules.revision > rules_.revision) rules_ = rules;
+}
+
 target_index target_directory::Find(const endpoint& where) const {
   const auto found = indices_.find(where);
   return found == indices_.end() ? kNoTargetIndex : found->second;
--- a/src/steering/target_directory.h
+++ b/src/steering/target_directory.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "steering/endpoint_hash.h"
+#include "tamaracklatch/control/placement_rules.h"
 #include "tamaracklatch/roster/node_record.h"
 #include "tamaracklatch/steering/steering_header.h"
 
@@ -80,6 +81,10 @@
   // entry is of another role.
   bool Update(const roster_entry& entry, time_point now);
 
+  // Replaces the placement rules; rules with a lower revision are ignored.
+  void SetRules(const placement_rules& rules);
+  const placement_rules& rules() const { return rules_; }
+
   // kNoTargetIndex if the endpoint is not of a target.
   target_index Find(const endpoint& where) const;
   const directory_target& At(target_index index) const {
@@ -164,6 +169,7 @@
                      const std::string& service) const;
 
   zone_name zone_;
+  placement_rules rules_;
   duration max_flow_age_;
   std::vector<directory_target> targets_;
   time_point last_joined_;
--- a/tests/steering/segment_owner_test.cc
+++ b/tests/steering/segment_owner_test.cc
@@ -541,6 +541,40 @@
   cr_assert(fixture.FindAction<deliver_segment>() == nullptr);
 }
 
+// Guards against resets that a target sends for flows that are open at another
+// target: of a copy whose answer was not accepted, or where it started after
+// its daemon and does not know the flow.
+Test(owner, passes_on_no_reset_of_a_flow_that_may_be_open_elsewhere) {
+  const std::string reset =
+      SegmentOf(FlowOf(1), 0, "", test::plain_codec::kRst);
+  for (const bool answered : {false, true}) {
+    owner_fixture fixture;
+    fixture.Steer(OpeningOf(FlowOf(1)));
+    if (answered) fixture.FromTarget(AnswerOf(FlowOf(1), kAnswerSequence));
+    fixture.FromTarget(reset);
+    cr_expect(fixture.DiscardReason() == result_code::kNotThisTarget);
+  }
+  struct row {
+    bool saw_target_start;
+    bool found_no_listener;
+    bool passed_on;
+  };
+  constexpr row kRows[] = {
+      {true, false, false}, {false, true, false}, {false, false, true}};
+  for (const row& each : kRows) {
+    owner_fixture fixture(each.saw_target_start);
+    if (each.found_no_listener) fixture.owner->OnNoListener();
+    fixture.Steer(SegmentOf(FlowOf(1), 1, "data"));
+    fixture.FromTarget(reset);
+    cr_expect((fixture.FindAction<answer_caller>() != nullptr) ==
+              each.passed_on);
+  }
+  owner_fixture fixture;
+  fixture.Claim(1);
+  fixture.FromTarget(reset);
+  cr_expect(fixture.FindAction<answer_caller>() != nullptr);
+}
+
 Test(owner, passes_a_returned_opening_on) {
   for (const bool token_lost : {false, true}) {
     owner_fixture fixture;
--- a/tests/steering/steering_simulation.cc
+++ b/tests/steering/steering_simulation.cc
@@ -379,7 +379,9 @@
 
 void steering_simulation::ProbeTarget(target_vm* where) {
   where->record.may_have_target = where->target != nullptr;
-  if (where->target == nullptr) where->reports->OnNoListener(WallNow());
+  if (where->target != nullptr) return;
+  where->reports->OnNoListener(WallNow());
+  where->daemon->OnNoListener();
 }
 
 // Announces that there is no target if that is known, else probes for it again
