Compare targets by expected load, with their estimated service times

Targets of one service can differ in speed. The terms of the load that stand for work not measured yet (6 for each open flow, 256 for each opening just sent, the base load of 64) were the same for all targets, so a slow target got about as many long flows as a fast one.

owned_flows estimates the service time of its target from the requests that it ran at once. Requests delivered while the target is cold do not count, since cold targets are already compared by a factor. The estimate is announced in node_record::service_time, as a trailing element that is written only if it is known: records without it have the same bytes as before. The hub publishes a change of it as a change of the load. target_directory keeps the relative service time of each target, and ExpectedLoad, used by balancers and target daemons, scales those terms by it. Without known service times it is 1 and all decisions are as before.

--- a/include/tamaracklatch/roster/node_record.h
+++ b/include/tamaracklatch/roster/node_record.h
@@ -41,6 +41,9 @@
   return "unknown";
 }
 
+inline constexpr std::chrono::microseconds kServiceTimeUnit{64};
+inline constexpr std::uint32_t kMaxServiceTime = 65535;
+
 // Describes one process; announced by its roster_member. A later record of the
 // same start has a higher sequence; a later start at the same endpoint has a
 // higher generation.
@@ -69,6 +72,9 @@
   // While unreported: a target that was running before the daemon may hold
   // flows. Also true where the record does not tell.
   bool may_have_target = true;
+  // Estimated time that the target takes for a request, in units of
+  // kServiceTimeUnit, at most kMaxServiceTime; 0: unknown.
+  std::uint32_t service_time = 0;
 
   // Whether both records are from the same start of the same node.
   bool IsSameStart(const node_record& other) const {
--- a/include/tamaracklatch/steering/segment_owner.h
+++ b/include/tamaracklatch/steering/segment_owner.h
@@ -143,6 +143,9 @@
 
   // The smoothed load of the target in 1/256 of a slot, for its node record.
   std::uint32_t load() const;
+  // Estimated service time of the target, for its node record; changes by less
+  // than an eighth are left out.
+  std::uint32_t service_time() const;
   // Flows that are pending or claimed.
   std::size_t flow_count() const;
   const segment_owner_counters& counters() const { return counters_; }
--- a/src/daemon/steering_target.cc
+++ b/src/daemon/steering_target.cc
@@ -141,6 +141,7 @@
   own.target_start = status.target_start;
   own.cold_remaining = std::max(status.cold_until - now, duration::zero());
   own.load = owner_.load();
+  own.service_time = owner_.service_time();
   roster_.SetOwn(own);
   if (status.condition == told_) return;
   told_ = status.condition;
@@ -277,6 +278,10 @@
   counts.Set("tamaracklatch_target_load_slots",
              "Smoothed load of the target, in slots.",
              owner_.load() / kLoadUnit);
+  counts.Set("tamaracklatch_target_service_time_seconds",
+             "Estimated time that the target takes for a request.",
+             std::chrono::duration<double>(kServiceTimeUnit).count() *
+                 owner_.service_time());
   counts.SetHistogram("tamaracklatch_first_answer_seconds",
                       "From an opening to the target's answer.",
                       counted.first_answer);
@@ -301,7 +306,9 @@
       now - probed_ >= settings_.first_report && !probe_.IsRunning())
     ProbeTarget();
   const bool has_changed = reports_.Tick(now);
-  if (has_changed || owner_.load() != roster_.member().local_record().load)
+  const node_record& own = roster_.member().local_record();
+  if (has_changed || owner_.load() != own.load ||
+      owner_.service_time() != own.service_time)
     FollowTarget();
   if (stop_.HasBegun()) ContinueStop();
 }
--- a/src/roster/roster_hub.cc
+++ b/src/roster/roster_hub.cc
@@ -37,7 +37,8 @@
 // The silence timeout, 4.4 intervals, of nodes that announce at `interval`.
 duration SilenceTimeout(duration interval) { return interval * 44 / 10; }
 
-// Whether records of the same start differ only in load and cold time.
+// Whether records of the same start differ only in load, cold time and service
+// time.
 bool IsLoadOnly(const node_record& left, const node_record& right) {
   return left.role == right.role && left.zone == right.zone &&
          left.leaving == right.leaving && left.operators == right.operators &&
--- a/src/roster/roster_member.cc
+++ b/src/roster/roster_member.cc
@@ -246,6 +246,7 @@
       next.zone == local_record_.zone &&
       next.operators == local_record_.operators &&
       next.slots == local_record_.slots && next.load == local_record_.load &&
+      next.service_time == local_record_.service_time &&
       Difference(next.cold_remaining, cold_left) <= kColdTimeTolerance;
   if (is_unchanged) return out;
   ++next.sequence;
--- a/src/roster/roster_messages.cc
+++ b/src/roster/roster_messages.cc
@@ -87,8 +87,10 @@
 
 constexpr std::size_t kRecordElements = 15;
 
-// node_record::may_have_target is the last element of the arrays that hold a
-// record, and absent in those of versions that don't know it.
+// node_record::may_have_target follows the other elements of the arrays that
+// hold a record, and is absent in those of versions that don't know it.
+// node_record::service_time follows it and is absent if unknown, so that an
+// array without it is the same as that of such a version.
 constexpr std::size_t kAnnouncedElements = kRecordElements + 1;
 constexpr std::size_t kEntryElements = kRecordElements + 2;
 
@@ -110,6 +112,18 @@
   writer->Number(record.target_start);
 }
 
+std::size_t ServiceTimeElements(const node_record& record) {
+  return record.service_time == 0 ? 0 : 1;
+}
+
+void WriteServiceTime(wire_writer* writer, const node_record& record) {
+  if (record.service_time != 0) writer->Number(record.service_time);
+}
+
+std::uint32_t ReadServiceTime(wire_reader* reader) {
+  return static_cast<std::uint32_t>(reader->NumberUpTo(kMaxServiceTime));
+}
+
 std::string ReadName(wire_reader* reader, bool* is_valid) {
   std::string name = reader->Text();
   *is_valid = *is_valid && name.size() <= kMaxNodeName;
@@ -169,9 +183,10 @@
   writer.Number(message.stamp);
   WriteDuration(&writer, message.stamp_age);
   writer.Number(message.position);
-  writer.Array(kAnnouncedElements);
+  writer.Array(kAnnouncedElements + ServiceTimeElements(message.record));
   WriteRecord(&writer, message.record, message.record.cold_remaining);
   writer.Flag(message.record.may_have_target);
+  WriteServiceTime(&writer, message.record);
   writer.Array(message.conflicts.size());
   for (const generation_conflict& conflict : message.conflicts) {
     writer.Array(3);
@@ -197,6 +212,8 @@
   bool is_valid = ReadRecord(&reader, &message.record);
   if (elements >= kAnnouncedElements)
     message.record.may_have_target = reader.Flag();
+  if (elements > kAnnouncedElements)
+    message.record.service_time = ReadServiceTime(&reader);
   reader.Leave();
   const std::size_t conflicts = reader.Array();
   is_valid = is_valid && conflicts <= kMaxConflicts;
@@ -349,6 +366,8 @@
         reader.NumberUpTo(static_cast<std::uint64_t>(node_liveness::kGone)));
     if (elements >= kEntryElements)
       entry.record.may_have_target = reader.Flag();
+    if (elements > kEntryElements)
+      entry.record.service_time = ReadServiceTime(&reader);
     reader.Leave();
     if ((entry.liveness == node_liveness::kGone) != entry.record.leaving)
       return Malformed("entry", last_failure);
@@ -362,10 +381,11 @@
 bool entry_writer::Add(const node_record& record, node_liveness liveness,
                        duration cold) {
   wire_writer writer;
-  writer.Array(kEntryElements);
+  writer.Array(kEntryElements + ServiceTimeElements(record));
   WriteRecord(&writer, record, cold);
   writer.Number(static_cast<std::uint64_t>(liveness));
   writer.Flag(record.may_have_target);
+  WriteServiceTime(&writer, record);
   const std::string_view bytes = writer.bytes();
   // The header of the array takes up to five bytes.
   if (body_.size() + bytes.size() + 5 > kMaxEntryBytes) return false;
--- a/src/steering/owned_flows.cc
+++ b/src/steering/owned_flows.cc
@@ -12,7 +12,8 @@
 
 // Contributions to the load, in 1/256 of a slot.
 constexpr double kWaitingLoad = 256.0;  // of a request that awaits an answer
-constexpr double kOpenLoad = 6.0;  // of an open flow: its mean request rate
+// Of an open flow: its mean request rate, at the median service time.
+constexpr double kOpenLoad = 6.0;
 constexpr std::chrono::milliseconds kLoadTimeConstant{1000};
 
 // Timeouts, counted from the last segment of either end.
@@ -72,7 +73,9 @@
   for (auto& [hash, flow] : flows_) {
     if (flow.phase == flow_phase::kClaimed)
       SetPhase(&flow, flow_phase::kSuspect);
+    flow.request_run = {};
   }
+  service_time_.Reset();
 }
 
 void owned_flows::OnDelivered(owned_flow* flow, const tcp_segment& tcp,
@@ -83,7 +86,10 @@
   if (!flow->caller_sent || IsAfter(end, flow->caller_end)) {
     flow->caller_sent = true;
     flow->caller_end = end;
-    if (tcp.payload_bytes > 0 && flow->IsOpen()) SetAwaitsAnswer(flow, true);
+    if (tcp.payload_bytes > 0 && flow->IsOpen()) {
+      MeasureRequest(flow, !flow->awaits_answer, now);
+      SetAwaitsAnswer(flow, true);
+    }
   }
   flow->caller_finished = flow->caller_finished || tcp.fin;
   EndIfFinished(flow, tcp);
@@ -107,7 +113,11 @@
   } else if (!tcp.rst && IsAfter(end, flow->answer_end)) {
     flow->answer_end = end;
   }
-  if (tcp.payload_bytes > 0) SetAwaitsAnswer(flow, false);
+  if (tcp.payload_bytes > 0) {
+    if (flow->awaits_answer && flow->request_run != time_point())
+      service_time_.Add(now - flow->request_run);
+    SetAwaitsAnswer(flow, false);
+  }
   flow->target_finished = flow->target_finished || tcp.fin;
   EndIfFinished(flow, tcp);
 }
@@ -129,6 +139,15 @@
   }
 }
 
+// Records the delivery of a part of a request. The request counts from its last
+// part, and only if a slot was free at its first one (`is_next`).
+void owned_flows::MeasureRequest(owned_flow* flow, bool is_next,
+                                 time_point now) {
+  const bool runs = is_next ? waiting_requests_ < slots_ && now >= cold_until_
+                            : flow->request_run != time_point();
+  flow->request_run = runs ? now : time_point();
+}
+
 void owned_flows::SetAwaitsAnswer(owned_flow* flow, bool awaits_answer) {
   if (flow->awaits_answer == awaits_answer) return;
   flow->awaits_answer = awaits_answer;
@@ -169,8 +188,9 @@
 
 void owned_flows::UpdateLoad(time_point now) {
   if (now <= load_updated_) return;
-  const double raw = static_cast<double>(waiting_requests_) * kWaitingLoad +
-                     static_cast<double>(open_flows_) * kOpenLoad;
+  const double raw =
+      static_cast<double>(waiting_requests_) * kWaitingLoad +
+      static_cast<double>(open_flows_) * kOpenLoad * relative_service_time_;
   const double part = static_cast<double>((now - load_updated_).count()) /
                       static_cast<double>(duration(kLoadTimeConstant).count());
   load_ += (raw - load_) * -std::expm1(-part);
--- a/src/steering/owned_flows.h
+++ b/src/steering/owned_flows.h
@@ -7,6 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "steering/service_time_estimator.h"
 #include "steering/target_directory.h"
 #include "tamaracklatch/core/time.h"
 #include "tamaracklatch/flow/packet.h"
@@ -41,6 +42,9 @@
   std::uint64_t hinted_balancer = 0;  // hash of the last one sent an owner hint
   time_point opened;
   time_point last_segment;  // of either end
+  // When the request that awaits an answer was delivered, if the target runs it
+  // at once; else time_point().
+  time_point request_run;
   // The last check whether it must be registered elsewhere, and by target_index
   // where it then was.
   time_point registered;
@@ -73,7 +77,8 @@
   void Erase(std::uint64_t hash);
   // Marks all claimed flows as suspect because the target has restarted. It has
   // lost them, except those that it accepted between its restart and its first
-  // report; a segment that the target sends confirms such a flow.
+  // report; a segment that the target sends confirms such a flow. Discards the
+  // estimate of the service time.
   void MarkAllSuspect();
 
   // Records a segment delivered to the target.
@@ -98,6 +103,18 @@
     return listed;
   }
 
+  // Requests that the target runs at a time, and
+  // until when it runs them slowly. Requests delivered until then do not count
+  // for the service time, since cold targets are compared by a factor.
+  void SetCapacity(std::uint32_t slots, time_point cold_until) {
+    slots_ = slots;
+    cold_until_ = cold_until;
+  }
+  // Of the target, as in directory_target. Call UpdateLoad before.
+  void SetRelativeServiceTime(double relative) {
+    relative_service_time_ = relative;
+  }
+
   // Advances the smoothed load to `now`. Call before each change of the flows,
   // since the current counts apply to the whole time since the last call.
   void UpdateLoad(time_point now);
@@ -107,11 +124,13 @@
   std::size_t max_open() const { return max_open_; }
   // Requests that the target has received and not begun to answer.
   std::size_t waiting_requests() const { return waiting_requests_; }
+  const service_time_estimator& service_time() const { return service_time_; }
   // In 1/256 of a slot, smoothed.
   std::uint32_t load() const { return static_cast<std::uint32_t>(load_); }
 
  private:
   void SetAwaitsAnswer(owned_flow* flow, bool awaits_answer);
+  void MeasureRequest(owned_flow* flow, bool is_next, time_point now);
   void EndIfFinished(owned_flow* flow, const tcp_segment& tcp);
 
   std::unordered_map<std::uint64_t, owned_flow> flows_;  // by hash
@@ -119,6 +138,10 @@
   // Invariants: the flows for which IsOpen() and `awaits_answer` hold.
   std::size_t open_flows_ = 0;
   std::size_t waiting_requests_ = 0;
+  std::uint32_t slots_ = 1;
+  time_point cold_until_;
+  service_time_estimator service_time_;
+  double relative_service_time_ = 1.0;
   double load_ = 0.0;        // in 1/256 of a slot, smoothed
   time_point load_updated_;  // last UpdateLoad
 };
--- a/src/steering/segment_owner.cc
+++ b/src/steering/segment_owner.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "steering/delivery_cache.h"
+#include "steering/expected_load.h"
 #include "steering/owned_flows.h"
 #include "steering/owner_registry.h"
 #include "steering/recent_flows.h"
@@ -54,10 +55,8 @@
 // Searches in parts whose outcomes are collected at the same time.
 constexpr std::size_t kCollectedSearches = 1024;
 
-// Load of the target as a fraction of its slots.
-double LoadPerSlot(const directory_target& target) {
-  return static_cast<double>(target.load) / (256.0 * target.slots);
-}
+// The unit of reported loads: the load of one request in one slot.
+constexpr double kLoadOfSlot = 256.0;
 
 }  // namespace
 
@@ -95,6 +94,8 @@
   const bool was_absent =
       is_first && status_.condition == target_condition::kAbsent;
   status_ = status;
+  flows_->SetCapacity(std::max<std::uint32_t>(status.slots, 1),
+                      status.cold_until);
   last_target_report_ = now;
   if (status.target_start == 0 || status.target_start == target_start_) return;
   if (was_absent) absence_known_until_ = now + kAbsenceRevocationTime;
@@ -446,7 +447,8 @@
   if (best == kNoTargetIndex) return false;
   const double own = static_cast<double>(flows_->waiting_requests()) /
                      static_cast<double>(slots);
-  if (2.0 * LoadPerSlot(targets_->At(best)) >= own) return false;
+  if (2.0 * ExpectedLoad(targets_->At(best), {}) >= own * kLoadOfSlot)
+    return false;
   PassOpening(header, received, result_code::kTargetFull, false, now, actions);
   return true;
 }
@@ -463,8 +465,8 @@
       &ranked_);
   target_index best = kNoTargetIndex;
   for (const target_index each : ranked_) {
-    if (best == kNoTargetIndex ||
-        LoadPerSlot(targets_->At(each)) < LoadPerSlot(targets_->At(best)))
+    if (best == kNoTargetIndex || ExpectedLoad(targets_->At(each), {}) <
+                                      ExpectedLoad(targets_->At(best), {}))
       best = each;
   }
   return best;
@@ -674,6 +676,8 @@
 
 void segment_owner::Tick(time_point now, std::vector<segment_action>* actions) {
   flows_->UpdateLoad(now);
+  flows_->SetRelativeServiceTime(
+      targets_->RelativeTo(service_, service_time()));
   RegisterDueFlows(now, actions);
   if (now - last_sweep_ < kSweepInterval) return;
   last_sweep_ = now;
@@ -692,6 +696,10 @@
 
 std::uint32_t segment_owner::load() const { return flows_->load(); }
 
+std::uint32_t segment_owner::service_time() const {
+  return flows_->service_time().reported();
+}
+
 std::size_t segment_owner::flow_count() const { return flows_->open_flows(); }
 
 }  // namespace tamaracklatch
--- a/src/steering/segment_router.cc
+++ b/src/steering/segment_router.cc
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <utility>
 
+#include "steering/expected_load.h"
 #include "steering/hint_cache.h"
 #include "steering/opening_cache.h"
 #include "steering/recent_flows.h"
@@ -398,13 +399,13 @@
                                duration(kOpeningReportDelay).count());
 }
 
-// The load per slot by which targets are compared, including recent openings,
-// and increased for cold targets and for targets of other zones.
+// The expected load per slot, including recent openings, and increased for cold
+// targets and for targets of other zones.
 double segment_router::EffectiveLoad(target_index target,
                                      time_point now) const {
   const directory_target& at = targets_->At(target);
   const double sent = RecentOpenings(target, now) * kOpeningLoad;
-  double load = (at.load + sent + kIdleLoad) / at.slots;
+  double load = ExpectedLoad(at, {sent, kIdleLoad});
   if (at.cold_until > now) load *= kColdFactor;
   return at.own_zone ? load : load + kOtherZoneLoad;
 }
--- a/src/steering/target_directory.cc
+++ b/src/steering/target_directory.cc
@@ -5,6 +5,8 @@
 #include <cassert>
 #include <limits>
 
+#include "steering/expected_load.h"
+
 namespace tamaracklatch {
 namespace {
 
@@ -17,6 +19,11 @@
 
 constexpr std::size_t kAll = std::numeric_limits<std::size_t>::max();
 
+// What the target contributes to the median of its service; 0: nothing.
+std::uint32_t CountedServiceTime(const directory_target& target) {
+  return target.liveness == node_liveness::kGone ? 0 : target.service_time;
+}
+
 }  // namespace
 
 bool directory_target::HasEnded(std::uint64_t start) const {
@@ -38,7 +45,10 @@
     targets_.push_back(added);
   }
   directory_target& target = targets_[place->second];
-  if (is_new || !IsListedUnder(target, record.service)) {
+  const service_digest service_before = target.service;
+  const std::uint32_t counted_before = CountedServiceTime(target);
+  const bool changes_service = is_new || !IsListedUnder(target, record.service);
+  if (changes_service) {
     if (!is_new) RemoveFromService(target, place->second);
     target.service = DigestService(record.service);
     service_targets& listed = services_[target.service];
@@ -61,6 +71,7 @@
   target.slots = std::max<std::uint32_t>(record.slots, 1);
   target.load = record.load;
   target.cold_until = entry.changed_at + record.cold_remaining;
+  target.service_time = record.service_time;
   target.target_start = record.target_start;
   target.may_have_target = record.may_have_target;
   if (record.target_start != 0) {
@@ -68,9 +79,39 @@
     target.previous_start = 0;
   }
   target.last_update = now;
+  const std::uint32_t counted = CountedServiceTime(target);
+  if (changes_service && counted_before != 0)
+    UpdateServiceTimes(service_before);
+  if (counted != counted_before || (changes_service && counted != 0))
+    UpdateServiceTimes(target.service);
   return true;
 }
 
+// Computes the median of the service and what depends on it.
+void target_directory::UpdateServiceTimes(const service_digest& service) {
+  const auto found = services_.find(service);
+  if (found == services_.end()) return;
+  known_service_times_.clear();
+  for (const target_index index : found->second.targets) {
+    const std::uint32_t counted = CountedServiceTime(targets_[index]);
+    if (counted != 0) known_service_times_.push_back(counted);
+  }
+  found->second.service_time = MedianServiceTime(&known_service_times_);
+  for (const target_index index : found->second.targets) {
+    directory_target& target = targets_[index];
+    target.relative_service_time =
+        RelativeServiceTime(target.service_time, found->second.service_time);
+  }
+}
+
+double target_directory::RelativeTo(const service_digest& service,
+                                    std::uint32_t service_time) const {
+  const auto found = services_.find(service);
+  return found == services_.end()
+             ? 1.0
+             : RelativeServiceTime(service_time, found->second.service_time);
+}
+
 void target_directory::SetRules(const placement_rules& rules) {
   if (rules.revision > rules_.revision) rules_ = rules;
 }
--- a/src/steering/target_directory.h
+++ b/src/steering/target_directory.h
@@ -41,6 +41,9 @@
   std::uint32_t slots = 1;  // requests that the target runs at a time, >= 1
   std::uint32_t load = 0;   // in 1/256 of a slot, as last reported
   time_point cold_until;    // the target runs slowly until then
+  std::uint32_t service_time = 0;  // as in node_record; 0: unknown
+  // Of the service time to the median of the service, in [1/4, 4]; 1: unknown.
+  double relative_service_time = 1.0;
   std::uint64_t target_start = 0;  // as in node_record; 0 while absent
   bool may_have_target = true;     // as in node_record
   // The last target_start that this start of the daemon reported; 0: none yet.
@@ -107,6 +110,11 @@
                   std::size_t most, time_point now,
                   std::vector<target_index>* out);
 
+  // The relative service time of a target of the service with that
+  // service time, as directory_target::relative_service_time.
+  double RelativeTo(const service_digest& service,
+                    std::uint32_t service_time) const;
+
   // The services of all known targets, in ascending order.
   std::vector<service_digest> Services() const;
 
@@ -164,6 +172,7 @@
   std::size_t FirstStep(const steering_header& header,
                         const endpoint& self) const;
   void RemoveFromService(const directory_target& target, target_index index);
+  void UpdateServiceTimes(const service_digest& service);
   // Whether the target is listed under the service of that name.
   bool IsListedUnder(const directory_target& target,
                      const std::string& service) const;
@@ -177,11 +186,14 @@
   struct service_targets {
     std::string name;
     std::vector<target_index> targets;  // never empty
+    // Median of the known service times of targets that are not gone; 0: none.
+    std::uint32_t service_time = 0;
   };
   std::unordered_map<service_digest, service_targets, service_digest_hash>
       services_;
   owner_search search_;                 // result of the last ListOwners
   std::vector<ranked_target> ranking_;  // buffer of Rank
+  std::vector<std::uint32_t> known_service_times_;  // of UpdateServiceTimes
   // Buffer of ListOwners: possible owners by service of the header, in the
   // flow's order.
   std::array<std::vector<target_index>, kMaxSteeringServices>
