--- a/tests/roster/roster_messages_test.cc
+++ b/tests/roster/roster_messages_test.cc
@@ -39,7 +39,8 @@
          left.slots == right.slots && left.load == right.load &&
          left.cold_remaining == right.cold_remaining &&
          left.target_start == right.target_start &&
-         left.may_have_target == right.may_have_target;
+         left.may_have_target == right.may_have_target &&
+         left.service_time == right.service_time;
 }
 
 Test(roster_messages, reads_what_was_written) {
@@ -55,6 +56,7 @@
         announce.record = MakeRecord(third, first % kMaxGeneration + 1);
         announce.record.leaving = flag;
         announce.record.may_have_target = !flag;
+        announce.record.service_time = third % (kMaxServiceTime + 1);
         announce.conflicts.push_back({MakeRecord(third, 1).where, third});
         const auto read_announce = DecodeAnnounce(Encode(announce), nullptr);
         RC_ASSERT(read_announce.has_value());
@@ -86,6 +88,8 @@
         RC_ASSERT((*entries)[0].liveness == liveness);
         RC_ASSERT((*entries)[0].record.cold_remaining == duration(third));
         RC_ASSERT((*entries)[0].record.may_have_target == !flag);
+        RC_ASSERT((*entries)[0].record.service_time ==
+                  announce.record.service_time);
       });
 }
 
