Describe expected load; test announcements of service times

The hub publishes a change of the service time alone at the rate of small changes of load, and a member announces it with the next announcement.

--- a/tests/roster/roster_test.cc
+++ b/tests/roster/roster_test.cc
@@ -170,8 +170,11 @@
     std::uint32_t step;  // in 1/256 of a slot, of one slot
     std::size_t most;
     std::size_t least;
+    std::uint32_t service_time_step = 0;
   };
-  for (const row& each : {row{64, 21, 15}, row{1, 6, 4}, row{0, 0, 0}}) {
+  // A change of the service time alone counts as a small change of load.
+  for (const row& each :
+       {row{64, 21, 15}, row{1, 6, 4}, row{0, 0, 0}, row{0, 6, 4, 1}}) {
     roster_hub hub(roster_hub_settings(), 5, kStart);
     announcing_node node(&hub, MakeRecord(1));
     announcing_node other(&hub, MakeRecord(2));
@@ -182,7 +185,8 @@
       const time_point now = kStart + i * milliseconds(250);
       TickUntil(&hub, now);
       node.record.load += each.step;
-      node.record.sequence += each.step == 0 ? 0 : 1;
+      node.record.service_time += each.service_time_step;
+      node.record.sequence += each.step + each.service_time_step == 0 ? 0 : 1;
       node.Announce(now);
       published += CountEntries(other.Announce(now));
     }
@@ -441,6 +445,9 @@
   record.load = 80;
   cr_expect(test.member.SetLocalRecord(record, test.now).empty());
   cr_expect(test.member.local_record().sequence == sequence + 1);
+  record.service_time = 40;
+  cr_expect(test.member.SetLocalRecord(record, test.now).empty());
+  cr_expect(test.member.local_record().sequence == sequence + 2);
   record.leaving = true;
   cr_expect(!test.member.SetLocalRecord(record, test.now).empty());
   record.leaving = false;
