Distribute placement rules by the roster

Updates and announcements carry revisions as trailing elements, which are absent while there are no rules. A member withholds a set while a responding hub has newer rules, and a confirmation counts once set and rules are held. Entries of one update are limited to 1,040 bytes instead of 1,050: with the two revisions, an update with the largest numbers would have 1,209 bytes.

--- a/include/tamaracklatch/core/event_id.h
+++ b/include/tamaracklatch/core/event_id.h
@@ -98,6 +98,7 @@
   kTargetChanged = 2608,
   kViewConfirmed = 2609,
   kTargetProbed = 2610,
+  kRulesApplied = 2611,
 
 };
 
--- a/include/tamaracklatch/roster/roster_hub.h
+++ b/include/tamaracklatch/roster/roster_hub.h
@@ -1,13 +1,14 @@
 // The roster at a control VM: receives the announcements of all nodes, sends
-// each node the changes since the position that it acknowledged, and serves the
-// document set, whole or as a delta, in parts. The state is soft: a hub that
-// restarts rebuilds it from the announcements.
+// each node the changes since the position that it acknowledged, sends the
+// placement rules, and serves the document set, whole or as a delta, in parts.
+// The state is soft: a hub that restarts rebuilds it from the announcements.
 //
 //   roster_hub hub(settings, instance, now);
 //   for (auto& send : hub.OnMessage(from, bytes, now)) Send(send);
 //   for (auto& send : hub.OnTick(now)) Send(send);  // at next_wake()
-//   hub.SetDocuments(version, bytes, now);          // applied from the log
-//   hub.OnQuorumConfirmed(version, queried_at);     // newest accepted by then
+//   hub.SetPlacementRules(rules, now);              // applied from the log
+//   hub.SetDocuments(version, bytes, now);          // the same
+//   hub.OnQuorumConfirmed(version, rules_revision, queried_at);
 //
 // An announcement counts only if it returns a stamp that this hub issued
 // recently, so an announcement that was delayed in the network, or queued while
@@ -26,6 +27,7 @@
 #include <string_view>
 #include <vector>
 
+#include "tamaracklatch/control/placement_rules.h"
 #include "tamaracklatch/core/event.h"
 #include "tamaracklatch/roster/node_record.h"
 #include "tamaracklatch/roster/roster_member.h"
@@ -79,13 +81,20 @@
   // returned.
   sends OnMessage(const endpoint& from, std::string_view bytes, time_point now);
 
+  // Sets the newest placement rules that the log applied; revisions not above
+  // the held one are ignored. Rules that the log changed before a set are to be
+  // set before it, so that no member uses the set without them.
+  void SetPlacementRules(const placement_rules& rules, time_point now);
+
   // Sets the newest document set that the log applied, as EncodeDocumentSet
   // wrote it. Versions not above the held one are ignored.
   void SetDocuments(std::uint64_t version, std::string bytes, time_point now);
 
   // The quorum, queried at `queried_at`, confirmed that this VM has applied all
-  // sets accepted before that time. Ignored if not later than the last one.
-  void OnQuorumConfirmed(std::uint64_t version, time_point queried_at);
+  // sets and placement rules accepted before that time; the newest are
+  // `version` and `rules_revision`. Ignored if not later than the last one.
+  void OnQuorumConfirmed(std::uint64_t version, std::uint64_t rules_revision,
+                         time_point queried_at);
 
   // Nodes by endpoint, with their liveness at this hub.
   const std::map<endpoint, roster_entry>& entries() const { return entries_; }
@@ -108,6 +117,7 @@
     std::uint64_t acknowledged = 0;  // position up to which the node is current
     // Highest generation that some member reported in a conflict.
     std::uint64_t reported_generation = 0;
+    std::uint64_t rules_revision = 0;  // that the node announced
     std::uint64_t published_sequence = 0;
     std::uint32_t published_load = 0;  // in 1/256 of a slot
     time_point published_at;
@@ -125,6 +135,7 @@
 
   struct confirmation {
     std::uint64_t version = 0;
+    std::uint64_t rules_revision = 0;
     time_point queried_at;
   };
 
@@ -147,7 +158,9 @@
   void RecordPropagation(std::uint64_t position, time_point now);
   void RecordAnnouncement(peer* node, time_point now);
   void PublishChange(peer* node, bool urgent, time_point now);
+  void SchedulePush(time_point now);
   void Push(time_point now, sends* out);
+  void SendRules(const endpoint& to, std::uint64_t held, sends* out) const;
   const std::vector<chunk>& ChunksAfter(std::uint64_t from,
                                         std::size_t max_datagrams,
                                         time_point now,
@@ -177,6 +190,9 @@
   std::size_t alive_ = 0;              // nodes
   std::optional<time_point> push_at_;
   std::unique_ptr<set_history> documents_;
+  std::uint64_t rules_revision_ = 0;
+  std::string rules_message_;       // the rules, as sent; empty at revision 0
+  bool is_rules_push_due_ = false;  // with the next push
   std::optional<confirmation> confirmed_;
   std::uint64_t malformed_ = 0;
   span_histogram propagation_times_;
--- a/include/tamaracklatch/roster/roster_member.h
+++ b/include/tamaracklatch/roster/roster_member.h
@@ -1,7 +1,7 @@
 // The roster at a node; runs in every process. It announces this node's record
 // to all known control VMs, merges what these hubs report about all other
-// nodes, and fetches the newest document set. While no hub responds, the last
-// state stays.
+// nodes, receives the newest placement rules, and fetches the newest document
+// set. While no hub responds, the last state stays.
 //
 //   roster_member member(settings, local_record, now);
 //   for (auto& action : member.OnTick(now)) Perform(action);  // at next_wake()
@@ -27,6 +27,7 @@
 #include <vector>
 
 #include "tamaracklatch/control/document_set.h"
+#include "tamaracklatch/control/placement_rules.h"
 #include "tamaracklatch/core/event.h"
 #include "tamaracklatch/core/fixed_histogram.h"
 #include "tamaracklatch/roster/node_record.h"
@@ -65,7 +66,13 @@
   roster_entry entry;
 };
 
-// A higher document set has been fetched.
+// Placement rules of a higher revision arrived.
+struct rules_received {
+  placement_rules rules;
+};
+
+// A higher document set has been fetched, and no hub that responds has newer
+// placement rules than those received before.
 struct set_received {
   document_set set;
 };
@@ -76,8 +83,8 @@
 };
 
 // What the process must do after a call of a roster_member, in the order given.
-using roster_action =
-    std::variant<roster_send, roster_changed, set_received, roster_report>;
+using roster_action = std::variant<roster_send, roster_changed, rules_received,
+                                   set_received, roster_report>;
 
 // Counted by a member, for /metrics.
 struct roster_member_counters {
@@ -85,13 +92,14 @@
   // Time from an urgent change of the local record until the first hub
   // acknowledges it.
   span_histogram announce_times;
-  // Time from the first report of a newer set until it is held.
+  // Time from the first report of a newer set until it is applied.
   span_histogram fetch_times;
 };
 
 // Announces this node and tracks all others; used by every daemon. Not
-// thread-safe. Invariants: the version of the set never decreases; only the
-// newest record of an endpoint is kept.
+// thread-safe. Invariants: neither the version of the set nor the revision of
+// the placement rules ever decreases; only the newest record of an endpoint is
+// kept.
 class roster_member {
  public:
   using actions = std::vector<roster_action>;
@@ -127,9 +135,12 @@
   // The newest set applied; version 0 before the first.
   const document_set& set() const { return set_; }
 
+  // The newest placement rules received; revision 0 before the first.
+  const placement_rules& rules() const { return rules_; }
+
   // The latest time at which, as confirmed by the control quorum through a hub,
-  // no set above set().version had been accepted; empty before the first
-  // confirmation.
+  // neither a set above set().version nor rules above rules().revision had been
+  // accepted; empty before the first confirmation.
   std::optional<time_point> confirmed() const { return confirmed_; }
 
   // Whether some hub responds and has sent its whole roster, and a settled one
@@ -145,6 +156,14 @@
   // used.
   using hub_mask = std::uint64_t;
 
+  // No set above `version` and no rules above `rules_revision` had been
+  // accepted when the quorum was queried.
+  struct confirmation {
+    std::uint64_t version = 0;
+    std::uint64_t rules_revision = 0;
+    time_point queried_at;
+  };
+
   // The state of one control VM to which announcements are sent.
   struct hub_link {
     endpoint where;
@@ -162,8 +181,8 @@
     std::uint64_t set_version = 0;
     std::uint64_t set_size = 0;  // bytes
     std::uint64_t set_hash = 0;
-    // Version confirmed, and when the quorum was queried.
-    std::optional<std::pair<std::uint64_t, time_point>> confirmed;
+    std::uint64_t rules_revision = 0;  // of its placement rules
+    std::optional<confirmation> confirmed;
     // It has run long enough to receive announcements of all nodes.
     bool settled = false;
 
@@ -209,6 +228,12 @@
                 actions* out);
   void OnPart(const endpoint& from, std::string_view bytes, time_point now,
               actions* out);
+  void OnRules(const endpoint& from, std::string_view bytes, actions* out);
+  const document_set& fetched_set() const {
+    return withheld_set_ ? *withheld_set_ : set_;
+  }
+  void ReleaseSet(time_point now, actions* out);
+  void ApplyConfirmations(time_point now, actions* out);
   bool ApplyEntries(hub_link* link, const roster_update& update, time_point now,
                     actions* out);
   void ApplyEntry(hub_link* link, const update_entry& update, time_point now,
@@ -255,7 +280,11 @@
   // receive updates, so this time does not count towards a hub's timeout:
   // active time is the time less this.
   duration total_stall_{0};
+  placement_rules rules_;
   document_set set_;
+  // A set above set_, fetched but not reported, as some responding hub has
+  // newer rules than rules_.
+  std::optional<document_set> withheld_set_;
   std::optional<time_point> confirmed_;
   std::unique_ptr<set_fetcher> fetcher_;
   // When the local record changed in a way that no hub has acknowledged yet;
--- a/src/core/event_id.cc
+++ b/src/core/event_id.cc
@@ -147,6 +147,8 @@
       return "view_confirmed";
     case event_id::kTargetProbed:
       return "target_probed";
+    case event_id::kRulesApplied:
+      return "rules_applied";
   }
   return "unknown";
 }
--- a/src/daemon/roster_agent.cc
+++ b/src/daemon/roster_agent.cc
@@ -57,8 +57,15 @@
   Schedule();
 }
 
-void roster_agent::OnQuorumConfirmed(std::uint64_t version, time_point asked) {
-  hub_->OnQuorumConfirmed(version, asked);
+void roster_agent::SetPlacementRules(const placement_rules& rules) {
+  hub_->SetPlacementRules(rules, frame_->Now());
+  Schedule();
+}
+
+void roster_agent::OnQuorumConfirmed(std::uint64_t version,
+                                     std::uint64_t rules_revision,
+                                     time_point asked) {
+  hub_->OnQuorumConfirmed(version, rules_revision, asked);
 }
 
 void roster_agent::OnDatagram(const endpoint& from, std::string_view bytes) {
@@ -89,6 +96,10 @@
   listener_->OnRosterChanged(action.entry);
 }
 
+void roster_agent::Do(const rules_received& action) {
+  listener_->OnPlacementRules(action.rules);
+}
+
 void roster_agent::Do(const set_received& action) {
   listener_->OnSetReceived(action.set);
 }
@@ -142,9 +153,12 @@
                "Version of the document set in force here.",
                static_cast<double>(member_.set().version));
   }
+  counts.Set("tamaracklatch_rules_revision",
+             "Revision of the placement rules in force here; 0: none.",
+             static_cast<double>(member_.rules().revision));
   if (const auto confirmed = member_.confirmed()) {
     counts.Set("tamaracklatch_set_confirmed_age_seconds",
-               "Since the quorum last confirmed that set.",
+               "Since the quorum last confirmed that set and the rules.",
                std::chrono::duration<double>(now - *confirmed).count());
   }
   const roster_member_counters& counted = member_.counters();
--- a/src/daemon/roster_agent.h
+++ b/src/daemon/roster_agent.h
@@ -57,13 +57,16 @@
 
   // At a control VM.
   void SetDocuments(std::uint64_t version, std::string bytes);
-  void OnQuorumConfirmed(std::uint64_t version, time_point asked);
+  void SetPlacementRules(const placement_rules& rules);
+  void OnQuorumConfirmed(std::uint64_t version, std::uint64_t rules_revision,
+                         time_point asked);
 
  private:
   void OnDatagram(const endpoint& from, std::string_view bytes);
   void Perform(const roster_member::actions& actions);
   void Do(const roster_send& action);
   void Do(const roster_changed& action);
+  void Do(const rules_received& action);
   void Do(const set_received& action);
   void Do(const roster_report& action);
   void SendAll(const roster_hub::sends& sends);
--- a/src/daemon/steering_control.cc
+++ b/src/daemon/steering_control.cc
@@ -171,7 +171,8 @@
 void steering_control::ConfirmSet() {
   const time_point asked = frame_.Now();
   consensus_.Read([this, asked](result_code code, revision) {
-    if (code == result_code::kOk) roster_.OnQuorumConfirmed(published_, asked);
+    if (code == result_code::kOk)
+      roster_.OnQuorumConfirmed(published_, 0, asked);
   });
 }
 
--- a/src/roster/roster_hub.cc
+++ b/src/roster/roster_hub.cc
@@ -105,7 +105,7 @@
 }
 
 // Discards the roster, under a new instance so that members start over as well.
-// The document set and its confirmation stay.
+// The document set, the placement rules and their confirmation stay.
 void roster_hub::ResetState(time_point now) {
   instance_ =
       HashPair(instance_,
@@ -116,6 +116,7 @@
   evicted_ = 0;
   alive_ = 0;
   push_at_.reset();
+  is_rules_push_due_ = false;  // nodes that announce themselves get the rules
   announcing_.clear();
   overdue_.clear();
   by_position_.clear();
@@ -253,10 +254,12 @@
     node->last_number = message->number;
     if (acknowledged > node->acknowledged) RecordPropagation(acknowledged, now);
     node->acknowledged = acknowledged;
+    node->rules_revision = message->rules_revision;
     RecordAnnouncement(node, now);
     if (node->reported_generation > record.generation)
       superseding_generation = node->reported_generation;
   }
+  SendRules(from, message->rules_revision, out);
   chunk_cache cache;
   SendUpdate(from, acknowledged, message->number, duration(0),
              superseding_generation, kMaxReplyDatagrams, now, &cache, out);
@@ -360,7 +363,11 @@
   node->published_sequence = node->entry->record.sequence;
   node->published_load = node->entry->record.load;
   node->published_at = now;
-  if (!urgent || push_at_) return;
+  if (urgent) SchedulePush(now);
+}
+
+void roster_hub::SchedulePush(time_point now) {
+  if (push_at_) return;
   push_at_ =
       now + std::max(settings_.push_delay,
                      kPushDelayPerNode * static_cast<std::int64_t>(alive_));
@@ -368,15 +375,26 @@
 
 void roster_hub::Push(time_point now, sends* out) {
   push_at_.reset();
+  const bool with_rules = std::exchange(is_rules_push_due_, false);
   chunk_cache cache;
   for (auto each = announcing_.rbegin(); each != announcing_.rend(); ++each) {
     const peer& node = **each;
     if (node.announced_active + silence_timeout() <= ActiveTime(now)) break;
-    SendUpdate(node.entry->record.where, node.acknowledged, node.last_number,
+    const endpoint& where = node.entry->record.where;
+    if (with_rules) SendRules(where, node.rules_revision, out);
+    SendUpdate(where, node.acknowledged, node.last_number,
                now - node.announced_at, 0, kMaxPushDatagrams, now, &cache, out);
   }
 }
 
+// Sends the rules to a node that holds revision `held`, if that is lower. To be
+// called before the update that reports the revision: a member that receives
+// the update first announces itself again.
+void roster_hub::SendRules(const endpoint& to, std::uint64_t held,
+                           sends* out) const {
+  if (held < rules_revision_) out->push_back({to, rules_message_});
+}
+
 // The changes after position `from`, encoded in at most `max_datagrams` chunks;
 // any others are sent after the node's next announcement. The cache serves all
 // nodes at the same position.
@@ -426,7 +444,9 @@
   update.documents = documents_->head();
   if (confirmed_)
     update.confirmed =
-        set_confirmation{confirmed_->version, now - confirmed_->queried_at};
+        set_confirmation{confirmed_->version, now - confirmed_->queried_at,
+                         confirmed_->rules_revision};
+  update.rules_revision = rules_revision_;
   update.from = from;
   update.to = from;
   if (max_datagrams == 0) {
@@ -465,20 +485,28 @@
   out->push_back({from, Encode(part)});
 }
 
+void roster_hub::SetPlacementRules(const placement_rules& rules,
+                                   time_point now) {
+  if (rules.revision <= rules_revision_) return;
+  rules_revision_ = rules.revision;
+  rules_message_ = Encode(rules);
+  assert(rules_message_.size() <= kMaxEncodedRulesBytes + 1);
+  is_rules_push_due_ = true;
+  SchedulePush(now);
+}
+
 void roster_hub::SetDocuments(std::uint64_t version, std::string bytes,
                               time_point now) {
   if (version <= documents_->head().version) return;
   documents_->Add(version, std::move(bytes));
-  if (!push_at_)
-    push_at_ =
-        now + std::max(settings_.push_delay,
-                       kPushDelayPerNode * static_cast<std::int64_t>(alive_));
+  SchedulePush(now);
 }
 
 void roster_hub::OnQuorumConfirmed(std::uint64_t version,
+                                   std::uint64_t rules_revision,
                                    time_point queried_at) {
   if (!confirmed_ || queried_at > confirmed_->queried_at)
-    confirmed_ = {version, queried_at};
+    confirmed_ = {version, rules_revision, queried_at};
 }
 
 void roster_hub::Report(event_id id, const node_record& record) const {
--- a/src/roster/roster_member.cc
+++ b/src/roster/roster_member.cc
@@ -124,6 +124,7 @@
   link->stamp = 0;
   link->settled = false;
   link->set_version = 0;
+  link->rules_revision = 0;
   link->confirmed.reset();
   for (auto& [where, reports] : liveness_reports_) {
     reports.alive &= ~link->bit;
@@ -184,6 +185,7 @@
   message.stamp = link->stamp;
   message.stamp_age = now - link->stamp_received;
   message.position = link->position;
+  message.rules_revision = rules_.revision;
   message.record = local_record_;
   message.record.cold_remaining = std::max(
       local_record_.cold_remaining - (now - local_record_made_), duration(0));
@@ -302,6 +304,7 @@
     out.emplace_back(std::move(send));
   UpdateLinks(now, &out);
   ReevaluateLiveness(now, &out);
+  ReleaseSet(now, &out);
   return out;
 }
 
@@ -350,11 +353,15 @@
     }
   } else if (kind == roster_kind::kPart) {
     OnPart(from, bytes, now, &out);
+  } else if (kind == roster_kind::kRules) {
+    OnRules(from, bytes, &out);
+    ApplyConfirmations(now, &out);
   } else {
     ++counters_.malformed;
   }
   UpdateLinks(now, &out);
   ReevaluateLiveness(now, &out);
+  ReleaseSet(now, &out);
   return out;
 }
 
@@ -425,12 +432,18 @@
     link->next =
         std::min(link->next, std::max(now, link->last_sent) + kReplyWait);
   }
-  if (update.unverified) AnnounceSoon(link, now, out);
+  // The rules come with the reply to the next announcement. Once for each
+  // revision, so that lost replies don't raise the rate of announcements.
+  const bool is_behind = update.rules_revision > rules_.revision &&
+                         update.rules_revision > link->rules_revision;
+  link->rules_revision = std::max(link->rules_revision, update.rules_revision);
+  if (update.unverified || is_behind) AnnounceSoon(link, now, out);
 
   if (update.confirmed) {
     const time_point queried_at = sent - update.confirmed->age;
-    if (!link->confirmed || link->confirmed->second < queried_at)
-      link->confirmed = {update.confirmed->version, queried_at};
+    if (!link->confirmed || link->confirmed->queried_at < queried_at)
+      link->confirmed = {update.confirmed->version,
+                         update.confirmed->rules_revision, queried_at};
     ApplyConfirmation(*link, now, out);
   }
   if (update.documents.version > link->set_version) {
@@ -626,11 +639,14 @@
     if (is_control(where)) AddLink(where, false, now);
 }
 
-// A confirmation by a hub counts only once the set that it confirms is held.
+// A confirmation by a hub counts only once the set and the rules that it
+// confirms are held.
 void roster_member::ApplyConfirmation(const hub_link& link, time_point now,
                                       actions* out) {
-  if (!link.confirmed || link.confirmed->first > set_.version) return;
-  const time_point queried_at = link.confirmed->second;
+  if (!link.confirmed || link.confirmed->version > set_.version ||
+      link.confirmed->rules_revision > rules_.revision)
+    return;
+  const time_point queried_at = link.confirmed->queried_at;
   if (confirmed_ && queried_at <= *confirmed_) return;
   const bool was_lost =
       !confirmed_ || now - *confirmed_ > settings_.confirmation_timeout;
@@ -639,19 +655,67 @@
   event reported;
   reported.id = event_id::kViewConfirmed;
   reported.peer = ToString(link.where);
-  reported.detail = "version " + std::to_string(set_.version);
+  reported.detail = "version " + std::to_string(set_.version) +
+                    ", rules revision " + std::to_string(rules_.revision);
+  out->push_back(roster_report{reported});
+}
+
+void roster_member::ApplyConfirmations(time_point now, actions* out) {
+  for (const auto& [where, link] : links_) ApplyConfirmation(link, now, out);
+}
+
+// Rules of a known hub are applied whatever their age, since a lower revision
+// never replaces a higher one.
+void roster_member::OnRules(const endpoint& from, std::string_view bytes,
+                            actions* out) {
+  std::optional<placement_rules> rules = DecodeRules(bytes, nullptr);
+  if (!rules) {
+    ++counters_.malformed;
+    return;
+  }
+  if (links_.find(from) == links_.end() || rules->revision <= rules_.revision)
+    return;
+  rules_ = std::move(*rules);
+  out->push_back(rules_received{rules_});
+  event reported;
+  reported.id = event_id::kRulesApplied;
+  reported.peer = ToString(from);
+  reported.detail = "revision " + std::to_string(rules_.revision) + ", " +
+                    std::to_string(rules_.evacuated_zones.size()) +
+                    " evacuated zones, " +
+                    std::to_string(rules_.cold_limits.size()) + " cold limits";
   out->push_back(roster_report{reported});
 }
 
+// Called after each input. Reports the withheld set once no hub that responds
+// has newer rules; hubs that were lost before they sent theirs don't count, so
+// that the set is not withheld for ever.
+void roster_member::ReleaseSet(time_point now, actions* out) {
+  if (!withheld_set_) return;
+  const bool has_newer_rules =
+      std::any_of(links_.begin(), links_.end(), [&](const auto& each) {
+        const hub_link& link = each.second;
+        return link.responds && link.rules_revision > rules_.revision;
+      });
+  if (has_newer_rules) return;
+  set_ = std::move(*withheld_set_);
+  withheld_set_.reset();
+  if (newer_set_since_) counters_.fetch_times.Add(now - *newer_set_since_);
+  newer_set_since_.reset();
+  out->push_back(set_received{set_});
+  ApplyConfirmations(now, out);
+}
+
 // Called when the responding hubs or their sets change.
 void roster_member::FetchNewestSet(time_point now, actions* out) {
   if (!settings_.wants_set) return;
   std::vector<set_source> sources;
   for (const auto& [where, link] : links_)
-    if (link.responds && link.set_version > set_.version)
+    if (link.responds && link.set_version > fetched_set().version)
       sources.push_back(
           {where, {link.set_version, link.set_size, link.set_hash}});
-  for (roster_send& send : fetcher_->SetSources(sources, set_.version, now))
+  for (roster_send& send :
+       fetcher_->SetSources(sources, fetched_set().version, now))
     out->emplace_back(std::move(send));
 }
 
@@ -664,7 +728,8 @@
   }
   if (links_.find(from) == links_.end()) return;
   std::optional<std::string> complete;
-  for (roster_send& send : fetcher_->OnPart(*part, set_, now, &complete))
+  for (roster_send& send :
+       fetcher_->OnPart(*part, fetched_set(), now, &complete))
     out->emplace_back(std::move(send));
   if (!complete) return;
   std::optional<document_set> set = DecodeDocumentSet(*complete);
@@ -673,12 +738,9 @@
     fetcher_->Reject(now);
     return;
   }
-  assert(set->version > set_.version);
-  set_ = std::move(*set);
-  if (newer_set_since_) counters_.fetch_times.Add(now - *newer_set_since_);
-  newer_set_since_.reset();
-  out->push_back(set_received{set_});
-  for (const auto& [where, link] : links_) ApplyConfirmation(link, now, out);
+  assert(set->version > fetched_set().version);
+  withheld_set_ = std::move(*set);
+  ReleaseSet(now, out);
   FetchNewestSet(now, out);
 }
 
--- a/src/roster/roster_messages.cc
+++ b/src/roster/roster_messages.cc
@@ -35,8 +35,7 @@
   return limits;
 }
 
-std::string Frame(roster_kind kind, const wire_writer& writer) {
-  const std::string_view body = writer.bytes();
+std::string Frame(roster_kind kind, std::string_view body) {
   std::string bytes;
   bytes.reserve(body.size() + 1);
   bytes.push_back(static_cast<char>(kind));
@@ -44,6 +43,10 @@
   return bytes;
 }
 
+std::string Frame(roster_kind kind, const wire_writer& writer) {
+  return Frame(kind, writer.bytes());
+}
+
 std::string_view Body(std::string_view bytes) {
   return bytes.empty() ? bytes : bytes.substr(1);
 }
@@ -92,6 +95,12 @@
 constexpr std::size_t kAnnouncedElements = kRecordElements + 1;
 constexpr std::size_t kEntryElements = kRecordElements + 2;
 
+// Elements of an announcement and of an update without the revisions of
+// placement rules, which follow as trailing elements. They are absent while
+// there are no rules, and in messages of versions that don't know them.
+constexpr std::size_t kAnnounceElements = 7;
+constexpr std::size_t kUpdateElements = 19;
+
 // Writes kRecordElements elements into the array that the caller began.
 void WriteRecord(wire_writer* writer, const node_record& record,
                  duration cold) {
@@ -156,6 +165,7 @@
     case roster_kind::kFetch:
     case roster_kind::kUpdate:
     case roster_kind::kPart:
+    case roster_kind::kRules:
       return kind;
   }
   return std::nullopt;
@@ -163,7 +173,8 @@
 
 std::string Encode(const roster_announce& message) {
   wire_writer writer;
-  writer.Array(7);
+  const bool has_rules = message.rules_revision != 0;
+  writer.Array(kAnnounceElements + (has_rules ? 1 : 0));
   writer.Number(message.number);
   writer.Number(message.instance);
   writer.Number(message.stamp);
@@ -178,6 +189,7 @@
     WriteEndpoint(&writer, conflict.where);
     writer.Number(conflict.generation);
   }
+  if (has_rules) writer.Number(message.rules_revision);
   return Frame(roster_kind::kAnnounce, writer);
 }
 
@@ -187,7 +199,7 @@
     return Malformed("announcement", last_failure);
   wire_reader reader(Body(bytes), MessageLimits());
   roster_announce message;
-  reader.Array();
+  const std::size_t message_elements = reader.Array();
   message.number = reader.Number();
   message.instance = reader.Number();
   message.stamp = reader.Number();
@@ -209,6 +221,8 @@
     message.conflicts.push_back(conflict);
   }
   reader.Leave();
+  if (message_elements > kAnnounceElements)
+    message.rules_revision = reader.Number();
   reader.Leave();
   if (!is_valid || !reader.ok()) return Malformed("announcement", last_failure);
   return message;
@@ -216,7 +230,11 @@
 
 std::string Encode(const roster_update& message) {
   wire_writer writer;
-  writer.Array(19);
+  const set_confirmation confirmed =
+      message.confirmed.value_or(set_confirmation());
+  const bool has_rules =
+      message.rules_revision != 0 || confirmed.rules_revision != 0;
+  writer.Array(kUpdateElements + (has_rules ? 2 : 0));
   writer.Number(message.instance);
   writer.Number(message.echo);
   WriteDuration(&writer, message.echo_age);
@@ -232,12 +250,14 @@
   writer.Number(message.documents.version);
   writer.Number(message.documents.size);
   writer.Number(message.documents.hash);
-  const set_confirmation confirmed =
-      message.confirmed.value_or(set_confirmation());
   writer.Flag(message.confirmed.has_value());
   writer.Number(confirmed.version);
   WriteDuration(&writer, confirmed.age);
   writer.Text(message.entries);
+  if (has_rules) {
+    writer.Number(message.rules_revision);
+    writer.Number(confirmed.rules_revision);
+  }
   return Frame(roster_kind::kUpdate, writer);
 }
 
@@ -247,7 +267,7 @@
     return Malformed("update", last_failure);
   wire_reader reader(Body(bytes), MessageLimits());
   roster_update message;
-  reader.Array();
+  const std::size_t elements = reader.Array();
   message.instance = reader.Number();
   message.echo = reader.Number();
   message.echo_age = ReadDuration(&reader);
@@ -267,8 +287,12 @@
   set_confirmation confirmation;
   confirmation.version = reader.Number();
   confirmation.age = ReadDuration(&reader);
-  if (confirmed) message.confirmed = confirmation;
   message.entries = reader.Text();
+  if (elements >= kUpdateElements + 2) {
+    message.rules_revision = reader.Number();
+    confirmation.rules_revision = reader.Number();
+  }
+  if (confirmed) message.confirmed = confirmation;
   reader.Leave();
   if (!reader.ok() || message.instance == 0 || message.from > message.to ||
       message.to > message.newest || message.evicted > message.newest)
@@ -333,6 +357,17 @@
   return message;
 }
 
+std::string Encode(const placement_rules& message) {
+  return Frame(roster_kind::kRules, EncodePlacementRules(message));
+}
+
+std::optional<placement_rules> DecodeRules(std::string_view bytes,
+                                           failure* last_failure) {
+  if (KindOf(bytes) != roster_kind::kRules)
+    return Malformed("rules message", last_failure);
+  return DecodePlacementRules(Body(bytes), last_failure);
+}
+
 std::optional<std::vector<update_entry>> DecodeEntries(std::string_view bytes,
                                                        failure* last_failure) {
   std::vector<update_entry> entries;
--- a/src/roster/roster_messages.h
+++ b/src/roster/roster_messages.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "tamaracklatch/control/document_set.h"
+#include "tamaracklatch/control/placement_rules.h"
 #include "tamaracklatch/core/result_code.h"
 #include "tamaracklatch/roster/node_record.h"
 
@@ -22,11 +23,13 @@
   kFetch = 0xa1,
   kUpdate = 0xa8,
   kPart = 0xa9,
+  kRules = 0xaa,
 };
 
 inline constexpr std::size_t kMaxRosterDatagram = 1200;  // bytes
-// Of all entries in one update, bytes.
-inline constexpr std::size_t kMaxEntryBytes = 1050;
+// Of all entries in one update, bytes. The other elements take up to 159 bytes
+// of the datagram.
+inline constexpr std::size_t kMaxEntryBytes = 1040;
 inline constexpr std::size_t kMaxSetPart = 1100;  // bytes
 inline constexpr std::size_t kMaxSetBytes = kMaxEncodedSetBytes;
 inline constexpr std::size_t kMaxNodeName = 128;  // of a zone or service, bytes
@@ -49,6 +52,7 @@
   std::uint64_t position = 0;  // up to which the member has the hub's changes
   node_record record;          // cold_remaining counts from when this is sent
   std::vector<generation_conflict> conflicts;
+  std::uint64_t rules_revision = 0;  // of the placement rules held; 0: none
 };
 
 // Identifies the document set that a hub holds.
@@ -63,10 +67,12 @@
   }
 };
 
-// No set above `version` had been accepted when the quorum was queried.
+// No set above `version` and no placement rules above `rules_revision` had been
+// accepted when the quorum was queried.
 struct set_confirmation {
   std::uint64_t version = 0;
   duration age{0};  // from that query until this is sent
+  std::uint64_t rules_revision = 0;
 };
 
 // Hub to member: the entries whose last change is after position `from` and up
@@ -90,7 +96,8 @@
   std::uint64_t superseding_generation = 0;
   set_head documents;
   std::optional<set_confirmation> confirmed;
-  std::string entries;  // as entry_writer wrote them
+  std::string entries;               // as entry_writer wrote them
+  std::uint64_t rules_revision = 0;  // of the placement rules held; 0: none
 };
 
 // An entry in an update; cold_remaining counts from when it is sent.
@@ -124,6 +131,8 @@
 std::string Encode(const roster_update& message);
 std::string Encode(const set_fetch& message);
 std::string Encode(const set_part& message);
+// Hub to member: the hub's placement rules.
+std::string Encode(const placement_rules& message);
 
 // The decoders return an empty optional on failure; the code is then
 // kRosterMessageMalformed.
@@ -135,6 +144,8 @@
                                      failure* last_failure);
 std::optional<set_part> DecodePart(std::string_view bytes,
                                    failure* last_failure);
+std::optional<placement_rules> DecodeRules(std::string_view bytes,
+                                           failure* last_failure);
 std::optional<std::vector<update_entry>> DecodeEntries(std::string_view bytes,
                                                        failure* last_failure);
 
--- a/tests/roster/roster_simulation.cc
+++ b/tests/roster/roster_simulation.cc
@@ -204,7 +204,7 @@
     }
     const duration ago = RandomUpTo(milliseconds(300));
     if (node->applied_version >= AcceptedAt(now_ - ago))
-      node->hub->OnQuorumConfirmed(node->applied_version,
+      node->hub->OnQuorumConfirmed(node->applied_version, 0,
                                    LocalTime(*node) - ago);
   }
 }
