Test the distribution of placement rules

Change: the random schedules change rules while hubs restart, some of them behind the log, and links are cut. The test of the largest update also fills the entries completely.

--- a/tests/roster/roster_messages_test.cc
+++ b/tests/roster/roster_messages_test.cc
@@ -56,12 +56,14 @@
         announce.record.leaving = flag;
         announce.record.may_have_target = !flag;
         announce.conflicts.push_back({MakeRecord(third, 1).where, third});
+        announce.rules_revision = flag ? second : 0;
         const auto read_announce = DecodeAnnounce(Encode(announce), nullptr);
         RC_ASSERT(read_announce.has_value());
         RC_ASSERT(read_announce->number == first);
         RC_ASSERT(read_announce->stamp_age == duration(third));
         RC_ASSERT(IsSame(read_announce->record, announce.record));
         RC_ASSERT(read_announce->conflicts[0].generation == third);
+        RC_ASSERT(read_announce->rules_revision == announce.rules_revision);
 
         entry_writer writer;
         const node_liveness liveness =
@@ -75,12 +77,16 @@
         update.newest = update.to;
         update.settled = flag;
         update.documents = {first, third % kMaxSetBytes, second};
-        if (flag) update.confirmed = set_confirmation{second, duration(third)};
+        if (flag)
+          update.confirmed = set_confirmation{second, duration(third), first};
+        update.rules_revision = third;
         update.entries = writer.Take();
         const auto read_update = DecodeUpdate(Encode(update), nullptr);
         RC_ASSERT(read_update.has_value());
         RC_ASSERT(read_update->documents == update.documents);
         RC_ASSERT(read_update->confirmed.has_value() == flag);
+        RC_ASSERT(!flag || read_update->confirmed->rules_revision == first);
+        RC_ASSERT(read_update->rules_revision == third);
         const auto entries = DecodeEntries(read_update->entries, nullptr);
         RC_ASSERT(entries.has_value() && entries->size() == 1U);
         RC_ASSERT((*entries)[0].liveness == liveness);
@@ -106,11 +112,44 @@
   update.echo_age = update.announce_interval = std::chrono::hours(24);
   update.superseding_generation = kMaxGeneration;
   update.documents = {UINT64_MAX, kMaxSetBytes, UINT64_MAX};
-  update.confirmed = set_confirmation{UINT64_MAX, std::chrono::hours(24)};
+  update.confirmed =
+      set_confirmation{UINT64_MAX, std::chrono::hours(24), UINT64_MAX};
+  update.rules_revision = UINT64_MAX;
   update.entries = writer.Take();
-  const std::string bytes = Encode(update);
+  std::string bytes = Encode(update);
   cr_expect(bytes.size() <= kMaxRosterDatagram, "%zu bytes", bytes.size());
   cr_expect(DecodeUpdate(bytes, nullptr).has_value());
+  // Shorter records may use all bytes for entries.
+  update.entries.assign(kMaxEntryBytes, 'e');
+  bytes = Encode(update);
+  cr_expect(bytes.size() <= kMaxRosterDatagram, "%zu bytes", bytes.size());
+  placement_rules rules;
+  rules.revision = UINT64_MAX;
+  rules.evacuated_zones = {zone_name(kMaxEncodedRulesBytes - 15, 'z')};
+  bytes = Encode(rules);
+  cr_expect(bytes.size() == kMaxEncodedRulesBytes + 1, "%zu", bytes.size());
+  cr_expect(DecodeRules(bytes, nullptr).has_value());
+}
+
+// Guards against misreading messages of a version without revisions of rules,
+// and against bytes for rules where there are none.
+Test(roster_messages, revisions_of_rules_are_absent_while_there_are_none) {
+  roster_announce announce;
+  announce.record = MakeRecord(1, 1);
+  roster_update update;
+  update.instance = 1;
+  update.confirmed = set_confirmation();
+  // An array of 7 elements and one of 19, as in earlier versions.
+  const std::string short_announce = Encode(announce);
+  const std::string short_update = Encode(update);
+  cr_expect(short_announce.compare(1, 1, "\x97") == 0);
+  cr_expect(short_update.compare(1, 3, std::string("\xdc\x00\x13", 3)) == 0);
+  cr_expect(DecodeAnnounce(short_announce, nullptr)->rules_revision == 0);
+  const auto read = DecodeUpdate(short_update, nullptr);
+  cr_expect(read->rules_revision == 0 && read->confirmed->rules_revision == 0);
+  announce.rules_revision = update.rules_revision = 5;
+  cr_expect(Encode(announce).size() == short_announce.size() + 1);
+  cr_expect(Encode(update).size() == short_update.size() + 2);
 }
 
 // Guards against misreading the record of a version without may_have_target.
@@ -154,6 +193,7 @@
       {"", false, false},
       {Encode(set_fetch()), true, true},
       {Encode(set_part()), true, false},
+      {Encode(placement_rules()), true, false},
       {Encode(roster_announce()), true, true},
       {Encode(roster_update()), true, false},
       {"\x9f", false, false},
@@ -213,43 +253,44 @@
 // short.
 Test(roster_messages, arbitrary_bytes_change_nothing) {
   const time_point start(std::chrono::hours(1));
-  test::CheckProperty("arbitrary bytes", [&](const std::string& bytes,
-                                             std::uint8_t changed,
-                                             std::uint8_t value) {
-    roster_member_settings settings;
-    const endpoint control = MakeRecord(9, 1).where;
-    settings.seeds = {control};
-    settings.wants_set = true;
-    roster_member member(settings, MakeRecord(1, 1), start);
-    roster_hub hub(roster_hub_settings(), 5, start);
-    const auto feed = [&](const std::string& each) {
-      hub.OnMessage(control, each, start);
-      member.OnMessage(control, each, start);
-      DecodeEntries(each, nullptr);
-    };
-    for (const roster_kind kind : {roster_kind::kAnnounce, roster_kind::kFetch,
-                                   roster_kind::kUpdate, roster_kind::kPart})
-      feed(std::string(1, static_cast<char>(kind)) + bytes);
-    feed(bytes);
-    RC_ASSERT(hub.entries().empty());
-    RC_ASSERT(member.entries().empty());
+  test::CheckProperty(
+      "arbitrary bytes",
+      [&](const std::string& bytes, std::uint8_t changed, std::uint8_t value) {
+        roster_member_settings settings;
+        const endpoint control = MakeRecord(9, 1).where;
+        settings.seeds = {control};
+        settings.wants_set = true;
+        roster_member member(settings, MakeRecord(1, 1), start);
+        roster_hub hub(roster_hub_settings(), 5, start);
+        const auto feed = [&](const std::string& each) {
+          hub.OnMessage(control, each, start);
+          member.OnMessage(control, each, start);
+          DecodeEntries(each, nullptr);
+        };
+        for (const roster_kind kind :
+             {roster_kind::kAnnounce, roster_kind::kFetch, roster_kind::kUpdate,
+              roster_kind::kPart, roster_kind::kRules})
+          feed(std::string(1, static_cast<char>(kind)) + bytes);
+        feed(bytes);
+        RC_ASSERT(hub.entries().empty());
+        RC_ASSERT(member.entries().empty());
 
-    roster_announce announce;
-    announce.record = MakeRecord(2, 5);
-    entry_writer writer;
-    writer.Add(announce.record, node_liveness::kAlive, duration(0));
-    roster_update update;
-    update.instance = 5;
-    update.echo = 2;
-    update.to = update.newest = 1;
-    update.entries = writer.Take();
-    member.OnTick(start);
-    for (std::string each : {Encode(announce), Encode(update)}) {
-      each[changed % each.size()] = static_cast<char>(value);
-      feed(each);
-      feed(each.substr(0, value % each.size()));
-    }
-  });
+        roster_announce announce;
+        announce.record = MakeRecord(2, 5);
+        entry_writer writer;
+        writer.Add(announce.record, node_liveness::kAlive, duration(0));
+        roster_update update;
+        update.instance = 5;
+        update.echo = 2;
+        update.to = update.newest = 1;
+        update.entries = writer.Take();
+        member.OnTick(start);
+        for (std::string each : {Encode(announce), Encode(update)}) {
+          each[changed % each.size()] = static_cast<char>(value);
+          feed(each);
+          feed(each.substr(0, value % each.size()));
+        }
+      });
 }
 
 // A hub that replies to the requests of a set_fetcher.
--- a/tests/roster/roster_simulation.cc
+++ b/tests/roster/roster_simulation.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 
+#include "roster/roster_messages.h"
 #include "tamaracklatch/control/document_set.h"
 
 namespace tamaracklatch::test {
@@ -19,6 +20,8 @@
 // stalls that it does not count, and the time for which a hub's last reports
 // count.
 constexpr duration kAliveBound = seconds(6);
+// The longest delay of a datagram that is not delayed by a fault.
+constexpr duration kUsualDelay = milliseconds(21);
 constexpr duration kLogInterval = milliseconds(100);
 
 endpoint EndpointOf(std::size_t index) {
@@ -43,6 +46,7 @@
 roster_simulation::roster_simulation(const roster_simulation_settings& settings)
     : settings_(settings), random_(settings.seed), next_log_(now_) {
   accepted_.emplace_back(time_point(), 0);
+  accepted_rules_.emplace_back(time_point(), placement_rules());
   nodes_.resize(settings.controls + settings.other_nodes);
   for (std::size_t i = 0; i < nodes_.size(); ++i)
     Start(i, "service-" + std::to_string(i % 3), duration(0));
@@ -86,11 +90,9 @@
     hub.retention = kHubRetention;
     node->hub =
         std::make_unique<roster_hub>(hub, random_() | 1U, LocalTime(*node));
-    if (before != nullptr) node->applied_version = before->applied_version;
-    if (node->applied_version > 0)
-      node->hub->SetDocuments(node->applied_version,
-                              sets_.at(node->applied_version),
-                              LocalTime(*node));
+    // Half of the hubs that start are behind the log until its next run.
+    if (before != nullptr && before->applied_version > 0 && Chance(0.5))
+      ApplyLog(node);
   } else {
     node->role = index % 3 == 0 ? node_role::kBalancer : node_role::kTarget;
     record.service = service;
@@ -133,7 +135,10 @@
   if (tick_first) Tick(node);
   auto inbox = std::move(node->inbox);
   node->inbox.clear();
-  for (const auto& [from, bytes] : inbox) Deliver(node, from, bytes);
+  for (const auto& [from, bytes] : inbox) {
+    RecordRulesReport(node, from, bytes, duration::max());
+    Deliver(node, from, bytes);
+  }
   if (!tick_first) Tick(node);
 }
 
@@ -189,22 +194,43 @@
   return version;
 }
 
-// Control VMs apply the accepted sets, and the quorum confirms that there are
-// no others.
+std::uint64_t roster_simulation::RulesAt(time_point when) const {
+  std::uint64_t revision = 0;
+  for (const auto& [at, rules] : accepted_rules_)
+    if (at <= when) revision = rules.revision;
+  return revision;
+}
+
+void roster_simulation::PublishRules() {
+  placement_rules rules;
+  rules.revision = accepted_rules().revision + 1 + RandomBelow(3);
+  for (std::size_t i = 0; i < 3; ++i)
+    if (Chance(0.3))
+      rules.evacuated_zones.push_back("zone-" + std::to_string(i));
+  Trace("accepted rules " + std::to_string(rules.revision));
+  accepted_rules_.emplace_back(now_, std::move(rules));
+}
+
+// The rules first, as the log's reader does.
+void roster_simulation::ApplyLog(process* node) {
+  node->applied_rules = accepted_rules().revision;
+  node->hub->SetPlacementRules(accepted_rules(), LocalTime(*node));
+  if (accepted() == 0) return;
+  node->applied_version = accepted();
+  node->hub->SetDocuments(accepted(), sets_.at(accepted()), LocalTime(*node));
+}
+
+// Control VMs apply the accepted sets and rules, and the quorum confirms that
+// there are no others.
 void roster_simulation::RunLog() {
   for (std::size_t i = 0; i < settings_.controls; ++i) {
     process* node = nodes_[i];
     if (!node->runs || node->is_suspended || Chance(0.3)) continue;
-    if (node->applied_version < accepted()) {
-      node->applied_version = accepted();
-      node->hub->SetDocuments(node->applied_version,
-                              sets_.at(node->applied_version),
-                              LocalTime(*node));
-      Schedule(node);
-    }
+    ApplyLog(node);
+    Schedule(node);
     const duration ago = RandomUpTo(milliseconds(300));
     if (node->applied_version >= AcceptedAt(now_ - ago))
-      node->hub->OnQuorumConfirmed(node->applied_version, 0,
+      node->hub->OnQuorumConfirmed(node->applied_version, node->applied_rules,
                                    LocalTime(*node) - ago);
   }
 }
@@ -212,7 +238,7 @@
 void roster_simulation::RandomFault() {
   const std::size_t index = RandomBelow(nodes_.size());
   process* node = nodes_[index];
-  switch (RandomBelow(13)) {
+  switch (RandomBelow(14)) {
     case 0:
       Cut(index, RandomBelow(nodes_.size()), true);
       break;
@@ -260,6 +286,9 @@
                   static_cast<std::uint32_t>(RandomBelow(1000)));
       break;
     case 11:
+      PublishRules();
+      break;
+    case 12:
       if (Chance(0.2)) {
         // All control VMs restart at once, as after a power failure.
         for (std::size_t i = 0; i < settings_.controls; ++i) {
@@ -320,6 +349,8 @@
         if (to->inbox.size() < 300)
           to->inbox.emplace_back(next_event.from, *next_event.bytes);
       } else {
+        RecordRulesReport(to, next_event.from, *next_event.bytes,
+                          now_ - next_event.sent);
         Deliver(to, next_event.from, *next_event.bytes);
       }
     }
@@ -356,12 +387,9 @@
     } else if (const auto* changed = std::get_if<roster_changed>(&action)) {
       CheckEntry(node, changed->entry);
     } else if (const auto* received = std::get_if<set_received>(&action)) {
-      const document_set& set = received->set;
-      if (set.version <= node->set_version)
-        ReportViolation(*node, "the set's version decreased");
-      if (EncodeDocumentSet(set) != sets_[set.version])
-        ReportViolation(*node, "the set is not the accepted one");
-      node->set_version = set.version;
+      CheckSet(node, received->set);
+    } else if (const auto* rules = std::get_if<rules_received>(&action)) {
+      CheckRules(node, rules->rules);
     }
   }
   CheckState(node);
@@ -374,7 +402,7 @@
   wake_at = std::max(wake_at - node->clock_offset, now_ + duration(1));
   if (wake_at >= node->wake_at) return;
   node->wake_at = wake_at;
-  queue_.push({wake_at, order_++, node, {}, nullptr});
+  queue_.push({wake_at, now_, order_++, node, {}, nullptr});
 }
 
 void roster_simulation::Send(process* from, const roster_send& sent) {
@@ -389,12 +417,13 @@
   const std::size_t index = (*found)->index;
   if (cuts_.count({from->index, index}) != 0 || Chance(loss_probability_))
     return;
+  if (loses_rules_ && KindOf(sent.bytes) == roster_kind::kRules) return;
   const auto bytes = std::make_shared<const std::string>(sent.bytes);
   for (int copies = Chance(repeat_probability_) ? 2 : 1; copies > 0; --copies) {
     duration delay = milliseconds(1) + RandomUpTo(milliseconds(20));
     if (Chance(long_delay_probability_)) delay += RandomUpTo(seconds(20));
     // It reaches the start that has the address now, if that still runs then.
-    queue_.push({now_ + delay, order_++, *found, from->where, bytes});
+    queue_.push({now_ + delay, now_, order_++, *found, from->where, bytes});
   }
 }
 
@@ -447,8 +476,59 @@
   }
 }
 
+void roster_simulation::CheckRules(process* node,
+                                   const placement_rules& rules) {
+  Trace("  " + ToString(node->where) + " has rules " +
+        std::to_string(rules.revision));
+  if (rules.revision <= node->rules_revision)
+    ReportViolation(*node, "the rules' revision decreased");
+  const auto accepted = std::find_if(
+      accepted_rules_.begin(), accepted_rules_.end(),
+      [&](const auto& each) { return each.second.revision == rules.revision; });
+  if (accepted == accepted_rules_.end() ||
+      EncodePlacementRules(accepted->second) != EncodePlacementRules(rules))
+    ReportViolation(*node, "the rules are not the accepted ones");
+  node->rules_revision = rules.revision;
+}
+
+// Records what an update to the member of `node` reports. An update counts if
+// it arrived without a fault and replies to a verified announcement, as the
+// member cannot take such an update for an old one.
+void roster_simulation::RecordRulesReport(process* node, const endpoint& from,
+                                          const std::string& bytes,
+                                          duration delay) {
+  const auto update = DecodeUpdate(bytes, nullptr);
+  if (!update) return;
+  process::rules_report& report = node->rules_reports[from];
+  if (report.instance != update->instance) report = {update->instance, 0, {}};
+  if (update->unverified || delay > kUsualDelay) return;
+  report.revision = std::max(report.revision, update->rules_revision);
+  report.at = now_;
+}
+
+// A set may be reported without the rules accepted before it only if no hub
+// that the member heard less than a second ago, which is less than a hub's
+// timeout, has newer rules.
+void roster_simulation::CheckSet(process* node, const document_set& set) {
+  if (set.version <= node->set_version)
+    ReportViolation(*node, "the set's version decreased");
+  if (EncodeDocumentSet(set) != sets_[set.version])
+    ReportViolation(*node, "the set is not the accepted one");
+  node->set_version = set.version;
+  const auto accepted = std::find_if(
+      accepted_.begin(), accepted_.end(),
+      [&](const auto& each) { return each.second == set.version; });
+  if (node->rules_revision >= RulesAt(accepted->first)) return;
+  for (const auto& [hub, report] : node->rules_reports)
+    if (report.revision > node->rules_revision && report.at + seconds(1) > now_)
+      ReportViolation(
+          *node, "a set was reported before the rules of " + ToString(hub));
+}
+
 void roster_simulation::CheckState(process* node) {
   const roster_member& member = *node->member;
+  if (member.rules().revision != node->rules_revision)
+    ReportViolation(*node, "the rules changed without a report");
   if (member.set().version < node->set_version)
     ReportViolation(*node, "the set's version decreased");
   if (member.confirmed() == node->confirmed) return;
@@ -458,6 +538,9 @@
   if (AcceptedAt(*node->confirmed - node->clock_offset) > member.set().version)
     ReportViolation(*node,
                     "a newer set was accepted before the time confirmed");
+  if (RulesAt(*node->confirmed - node->clock_offset) > member.rules().revision)
+    ReportViolation(*node,
+                    "newer rules were accepted before the time confirmed");
 }
 
 std::string roster_simulation::CheckConverged() const {
@@ -488,6 +571,8 @@
       if (entry.liveness != right)
         return who + "sees " + whom + " as " + Describe(entry.liveness);
     }
+    if (member.rules().revision != accepted_rules().revision)
+      return who + "has rules " + std::to_string(member.rules().revision);
     if (node->role == node_role::kControl) continue;
     if (member.set().version != accepted())
       return who + "has set " + std::to_string(member.set().version);
--- a/tests/roster/roster_simulation.h
+++ b/tests/roster/roster_simulation.h
@@ -68,6 +68,7 @@
     // Datagrams that arrived while it was suspended, with their senders.
     std::deque<std::pair<endpoint, std::string>> inbox;
     std::uint64_t applied_version = 0;  // by the log of a control VM
+    std::uint64_t applied_rules = 0;    // revision; the same
     time_point wake_at = time_point::max();
 
     // What its member reported so far, for the checks.
@@ -75,7 +76,16 @@
     // Endpoint and generation of the starts that were gone.
     std::set<std::pair<endpoint, std::uint64_t>> gone_starts;
     std::uint64_t set_version = 0;
+    std::uint64_t rules_revision = 0;
     std::optional<time_point> confirmed;
+    // The newest revision of rules that a start of a hub reported to it, and
+    // when it last did so by an update that its member cannot ignore.
+    struct rules_report {
+      std::uint64_t instance = 0;
+      std::uint64_t revision = 0;
+      time_point at;
+    };
+    std::map<endpoint, rules_report> rules_reports;
   };
 
   // The last start at an address.
@@ -97,14 +107,23 @@
   void Leave(std::size_t index);
   // The log accepts a new document set with this number of services.
   void Publish(std::size_t names);
+  // The log accepts new placement rules.
+  void PublishRules();
+  // From now on, messages with rules are lost, or not any more.
+  void LoseRules(bool lost) { loses_rules_ = lost; }
   void SetRecord(std::size_t index, target_condition condition,
                  std::uint32_t load);
   // Version of the last set that the log accepted.
   std::uint64_t accepted() const { return accepted_.back().second; }
+  // The last rules that the log accepted.
+  const placement_rules& accepted_rules() const {
+    return accepted_rules_.back().second;
+  }
 
  private:
   struct queued_event {
     time_point at;
+    time_point sent;
     std::uint64_t order = 0;
     process* to = nullptr;
     endpoint from;
@@ -136,7 +155,13 @@
   void Send(process* from, const roster_send& sent);
   void Schedule(process* node);
   void CheckEntry(process* node, const roster_entry& entry);
+  void CheckRules(process* node, const placement_rules& rules);
+  void CheckSet(process* node, const document_set& set);
+  void RecordRulesReport(process* node, const endpoint& from,
+                         const std::string& bytes, duration delay);
   void CheckState(process* node);
+  void ApplyLog(process* node);
+  std::uint64_t RulesAt(time_point when) const;
   std::uint64_t AcceptedAt(time_point when) const;
 
   roster_simulation_settings settings_;
@@ -150,6 +175,8 @@
   std::set<std::pair<std::size_t, std::size_t>> cuts_;
   std::priority_queue<queued_event> queue_;
   std::vector<std::pair<time_point, std::uint64_t>> accepted_;  // versions
+  std::vector<std::pair<time_point, placement_rules>> accepted_rules_;
+  bool loses_rules_ = false;
   std::map<std::uint64_t, std::string> sets_;
   double loss_probability_ = 0.0;
   double repeat_probability_ = 0.0;
--- a/tests/roster/roster_test.cc
+++ b/tests/roster/roster_test.cc
@@ -57,9 +57,15 @@
     message.stamp_age = now - stamped;
     message.position = position;
     message.record = record;
+    message.rules_revision = rules_revision;
     last = Encode(message);
     std::vector<roster_update> updates;
     for (const roster_send& sent : hub_->OnMessage(record.where, last, now)) {
+      if (KindOf(sent.bytes) == roster_kind::kRules) {
+        cr_expect(updates.empty(), "rules are sent before the update");
+        ++rules_messages;
+        continue;
+      }
       updates.push_back(*DecodeUpdate(sent.bytes, nullptr));
       const roster_update& update = updates.back();
       instance = update.instance;
@@ -76,6 +82,8 @@
   std::uint64_t instance = 0;
   std::uint64_t stamp = 0;
   std::uint64_t position = 0;
+  std::uint64_t rules_revision = 0;  // to announce
+  std::size_t rules_messages = 0;    // received
   time_point stamped;
 
  private:
@@ -239,6 +247,61 @@
   cr_expect(CountEntries(reader.Announce(kStart + milliseconds(2))) == 1);
 }
 
+placement_rules MakeRules(std::uint64_t revision) {
+  placement_rules rules;
+  rules.revision = revision;
+  if (revision != 0)
+    rules.evacuated_zones = {"zone-" + std::to_string(revision)};
+  return rules;
+}
+
+// Guards against rules that are sent without need, and against a hub that
+// answers a forged or late announcement with a large datagram.
+Test(roster_hub, only_fresh_announcements_of_a_lower_revision_get_the_rules) {
+  struct row {
+    std::uint64_t held;  // by the hub
+    std::uint64_t announced;
+    bool fresh;
+    bool is_sent;
+  };
+  for (const row& each : {row{0, 0, true, false}, row{7, 0, true, true},
+                          row{7, 6, true, true}, row{7, 7, true, false},
+                          row{7, 9, true, false}, row{7, 0, false, false}}) {
+    roster_hub hub(roster_hub_settings(), 5, kStart);
+    hub.SetPlacementRules(MakeRules(each.held), kStart);
+    hub.SetPlacementRules(MakeRules(each.held / 2), kStart);
+    announcing_node node(&hub, MakeRecord(1));
+    node.rules_messages = 0;
+    node.rules_revision = each.announced;
+    if (!each.fresh) node.stamp -= 1200000;  // 1.2 s
+    const auto updates = node.Announce(kStart);
+    cr_expect(updates.at(0).rules_revision == each.held);
+    cr_expect((node.rules_messages == 1) == each.is_sent, "%d announced",
+              static_cast<int>(each.announced));
+  }
+}
+
+Test(roster_hub, changed_rules_are_pushed_once_to_nodes_that_lack_them) {
+  roster_hub hub(roster_hub_settings(), 5, kStart);
+  announcing_node behind(&hub, MakeRecord(1));
+  announcing_node ahead(&hub, MakeRecord(2));
+  ahead.rules_revision = 7;
+  ahead.Announce(kStart);
+  const auto push = [&](time_point now) {
+    std::vector<endpoint> receivers;
+    for (const roster_send& sent : hub.OnTick(now))
+      if (KindOf(sent.bytes) == roster_kind::kRules)
+        receivers.push_back(sent.to);
+    return receivers;
+  };
+  hub.OnTick(kStart + milliseconds(20));
+  hub.SetPlacementRules(MakeRules(7), kStart + milliseconds(20));
+  cr_expect(push(kStart + milliseconds(40)) == std::vector{EndpointAt(1)});
+  // The push of another change, before the node's next announcement.
+  hub.SetDocuments(3, "set", kStart + milliseconds(40));
+  cr_expect(push(kStart + milliseconds(60)).empty());
+}
+
 // A member, and hubs whose updates the test writes.
 class scripted_member {
  public:
@@ -261,6 +324,8 @@
 
   void RecordAnnouncements(const roster_member::actions& actions) {
     for (const roster_action& action : actions) {
+      if (std::holds_alternative<rules_received>(action)) reports += 'r';
+      if (std::holds_alternative<set_received>(action)) reports += 's';
       const auto* sent = std::get_if<roster_send>(&action);
       if (sent == nullptr) continue;
       const auto message = DecodeAnnounce(sent->bytes, nullptr);
@@ -310,9 +375,28 @@
   }
 
   void SendUpdate(std::size_t hub, const roster_update& update) {
-    RecordAnnouncements(
-        member.OnMessage(EndpointAt(100 + static_cast<std::uint32_t>(hub)),
-                         Encode(update), now));
+    SendBytes(hub, Encode(update));
+  }
+
+  void SendBytes(std::size_t hub, const std::string& bytes) {
+    RecordAnnouncements(member.OnMessage(
+        EndpointAt(100 + static_cast<std::uint32_t>(hub)), bytes, now));
+  }
+
+  // A hub offers a set and rules, confirms both, and sends the set.
+  void OfferSet(std::size_t hub, std::uint64_t version,
+                std::uint64_t rules_revision) {
+    document_set set;
+    set.version = version;
+    const std::string bytes = EncodeDocumentSet(set);
+    roster_update update = Update(hub);
+    update.documents = {version, bytes.size(),
+                        HashBytes(bytes.data(), bytes.size())};
+    update.rules_revision = rules_revision;
+    update.confirmed =
+        set_confirmation{version, milliseconds(10), rules_revision};
+    SendUpdate(hub, update);
+    SendBytes(hub, Encode(set_part{version, bytes.size(), 0, bytes}));
   }
 
   node_liveness LivenessOf(std::uint32_t index) const {
@@ -325,6 +409,7 @@
   std::map<std::size_t, std::uint64_t> positions;
   std::map<std::size_t, std::uint64_t> announced_positions;  // to the hubs
   std::size_t announce_count = 0;
+  std::string reports;  // 'r' for rules received, 's' for a set, in order
   time_point now;
 };
 
@@ -589,6 +674,96 @@
   cr_expect(test.member.confirmed() == kStart - milliseconds(10));
 }
 
+Test(roster_member, a_lower_revision_or_malformed_rules_change_nothing) {
+  struct row {
+    const char* name;
+    std::size_t hub;
+    std::string bytes;
+    std::uint64_t malformed;
+  };
+  placement_rules invalid = MakeRules(9);
+  invalid.evacuated_zones = {"b", "a"};
+  const std::string newer = Encode(MakeRules(9));
+  for (const row& each :
+       {row{"a hub behind the log", 1, Encode(MakeRules(6)), 0},
+        row{"the same revision, other zones", 1,
+            Encode(placement_rules{7, {"other"}, {}}), 0},
+        row{"not sorted", 0, Encode(invalid), 1},
+        row{"cut short", 0, newer.substr(0, newer.size() - 1), 1},
+        row{"empty", 0, newer.substr(0, 1), 1},
+        row{"an unknown sender", 5, newer, 0}}) {
+    scripted_member test(2);
+    test.SendBytes(0, Encode(MakeRules(7)));
+    test.SendBytes(each.hub, each.bytes);
+    cr_expect(test.reports == "r", "%s", each.name);
+    cr_expect(test.member.rules().evacuated_zones[0] == "zone-7", "%s",
+              each.name);
+    cr_expect(test.member.counters().malformed == each.malformed, "%s",
+              each.name);
+  }
+}
+
+// Guards against openings that are forwarded without the rules, against a set
+// that is withheld for ever, and against a confirmation without the rules.
+Test(roster_member, a_set_and_its_confirmation_wait_for_the_rules) {
+  struct row {
+    const char* name;
+    std::uint64_t held;                 // rules before the set
+    std::optional<std::uint64_t> sent;  // rules after it
+    std::string reports;
+  };
+  for (const row& each : {row{"rules first", 7, std::nullopt, "rs"},
+                          row{"rules after the set", 0, 7, "rs"},
+                          row{"newer rules after the set", 3, 8, "rrs"},
+                          row{"rules of a hub behind", 0, 6, "r"},
+                          row{"no rules", 0, std::nullopt, ""}}) {
+    scripted_member test(2, true);
+    test.SendBytes(0, Encode(MakeRules(each.held)));
+    test.OfferSet(0, 4, 7);
+    if (each.sent) test.SendBytes(1, Encode(MakeRules(*each.sent)));
+    cr_expect(test.reports == each.reports, "%s: %s", each.name,
+              test.reports.c_str());
+    const bool is_reported = each.reports.back() == 's';
+    cr_expect(test.member.set().version == (is_reported ? 4U : 0U));
+    cr_expect(test.member.confirmed().has_value() == is_reported, "%s",
+              each.name);
+    if (is_reported) continue;
+    // The hub is lost; another one, without the set, responds.
+    test.RunUntil(test.now + seconds(1), {1});
+    cr_expect(test.member.set().version == 0, "%s", each.name);
+    test.RunUntil(test.now + seconds(2), {1});
+    cr_expect(test.member.set().version == 4, "%s", each.name);
+    cr_expect(!test.member.confirmed(), "%s", each.name);
+  }
+}
+
+// The set fetched next must be based on the withheld one, and replaces it.
+Test(roster_member, a_newer_set_replaces_a_withheld_one) {
+  scripted_member test(1, true);
+  test.OfferSet(0, 4, 7);
+  test.OfferSet(0, 6, 7);
+  cr_expect(test.reports.empty());
+  test.SendBytes(0, Encode(MakeRules(7)));
+  cr_expect(test.reports == "rs" && test.member.set().version == 6);
+  cr_expect(test.member.confirmed().has_value());
+}
+
+// Guards against rules that wait for the next announcement, and against a storm
+// of announcements while rules don't arrive.
+Test(roster_member, a_higher_revision_is_announced_at_once_but_not_repeated) {
+  scripted_member test(1);
+  test.SendEntries(0, {}, 0);
+  test.RunUntil(test.now + milliseconds(100), {});
+  test.announce_count = 0;
+  roster_update update = test.Update(0);
+  for (const std::uint64_t revision : {7, 7, 7, 8}) {
+    update.rules_revision = revision;
+    test.SendUpdate(0, update);
+    test.RunUntil(test.now + milliseconds(30), {});
+    cr_expect(test.announce_count == revision - 6, "%zu", test.announce_count);
+  }
+}
+
 Test(roster_member, no_two_starts_raise_to_the_same_generation) {
   std::vector<std::uint64_t> raised;
   for (const std::uint64_t generation : {100, 101, 102}) {
@@ -616,6 +791,7 @@
 Test(roster_simulation, changes_reach_all_nodes_quickly) {
   roster_simulation simulation = MakeSimulation();
   simulation.RunFor(seconds(4));
+  simulation.PublishRules();
   simulation.Publish(3);
   simulation.RunFor(milliseconds(400));
   cr_expect(simulation.CheckConverged().empty(), "%s",
@@ -626,6 +802,29 @@
             simulation.CheckConverged().c_str());
 }
 
+// Also guards against a member that starts and reports the set first.
+Test(roster_simulation, lost_rules_messages_are_repaired) {
+  roster_simulation simulation = MakeSimulation();
+  simulation.RunFor(seconds(4));
+  simulation.LoseRules(true);
+  simulation.PublishRules();
+  simulation.RunFor(seconds(2));
+  simulation.Publish(3);
+  simulation.Kill(5);
+  simulation.Start(5, "service-2", duration(0));
+  simulation.RunFor(seconds(2));
+  for (const std::size_t index : {4, 5}) {
+    const roster_member& member = *simulation.NodeAt(index)->member;
+    cr_expect(member.rules().revision == 0 && member.set().version == 0);
+  }
+  simulation.LoseRules(false);
+  simulation.RunFor(milliseconds(400));
+  cr_expect(simulation.CheckConverged().empty(), "%s",
+            simulation.CheckConverged().c_str());
+  cr_expect(simulation.violation().empty(), "%s",
+            simulation.violation().c_str());
+}
+
 Test(roster_simulation, a_node_received_by_one_hub_is_alive_everywhere) {
   roster_simulation simulation = MakeSimulation();
   simulation.RunFor(seconds(4));
