--- a/tests/roster/roster_messages_test.cc
+++ b/tests/roster/roster_messages_test.cc
@@ -253,44 +253,47 @@
 // short.
 Test(roster_messages, arbitrary_bytes_change_nothing) {
   const time_point start(std::chrono::hours(1));
-  test::CheckProperty(
-      "arbitrary bytes",
-      [&](const std::string& bytes, std::uint8_t changed, std::uint8_t value) {
-        roster_member_settings settings;
-        const endpoint control = MakeRecord(9, 1).where;
-        settings.seeds = {control};
-        settings.wants_set = true;
-        roster_member member(settings, MakeRecord(1, 1), start);
-        roster_hub hub(roster_hub_settings(), 5, start);
-        const auto feed = [&](const std::string& each) {
-          hub.OnMessage(control, each, start);
-          member.OnMessage(control, each, start);
-          DecodeEntries(each, nullptr);
-        };
-        for (const roster_kind kind :
-             {roster_kind::kAnnounce, roster_kind::kFetch, roster_kind::kUpdate,
-              roster_kind::kPart, roster_kind::kRules})
-          feed(std::string(1, static_cast<char>(kind)) + bytes);
-        feed(bytes);
-        RC_ASSERT(hub.entries().empty());
-        RC_ASSERT(member.entries().empty());
+  test::CheckProperty("arbitrary bytes", [&](const std::string& bytes,
+                                             std::uint8_t changed,
+                                             std::uint8_t value) {
+    roster_member_settings settings;
+    const endpoint control = MakeRecord(9, 1).where;
+    settings.seeds = {control};
+    settings.wants_set = true;
+    roster_member member(settings, MakeRecord(1, 1), start);
+    roster_hub hub(roster_hub_settings(), 5, start);
+    const auto feed = [&](const std::string& each) {
+      hub.OnMessage(control, each, start);
+      member.OnMessage(control, each, start);
+      DecodeEntries(each, nullptr);
+    };
+    for (const roster_kind kind :
+         {roster_kind::kAnnounce, roster_kind::kFetch, roster_kind::kUpdate,
+          roster_kind::kPart, roster_kind::kRules})
+      feed(std::string(1, static_cast<char>(kind)) + bytes);
+    feed(bytes);
+    RC_ASSERT(hub.entries().empty());
+    RC_ASSERT(member.entries().empty());
 
-        roster_announce announce;
-        announce.record = MakeRecord(2, 5);
-        entry_writer writer;
-        writer.Add(announce.record, node_liveness::kAlive, duration(0));
-        roster_update update;
-        update.instance = 5;
-        update.echo = 2;
-        update.to = update.newest = 1;
-        update.entries = writer.Take();
-        member.OnTick(start);
-        for (std::string each : {Encode(announce), Encode(update)}) {
-          each[changed % each.size()] = static_cast<char>(value);
-          feed(each);
-          feed(each.substr(0, value % each.size()));
-        }
-      });
+    roster_announce announce;
+    announce.record = MakeRecord(2, 5);
+    entry_writer writer;
+    writer.Add(announce.record, node_liveness::kAlive, duration(0));
+    roster_update update;
+    update.instance = 5;
+    update.echo = 2;
+    update.to = update.newest = 1;
+    update.entries = writer.Take();
+    member.OnTick(start);
+    placement_rules rules;
+    rules.revision = 3;
+    rules.evacuated_zones = {"zone-a"};
+    for (std::string each : {Encode(announce), Encode(update), Encode(rules)}) {
+      each[changed % each.size()] = static_cast<char>(value);
+      feed(each);
+      feed(each.substr(0, value % each.size()));
+    }
+  });
 }
 
 // A hub that replies to the requests of a set_fetcher.
