Send no openings to targets of evacuated zones

Steering only stored the placement rules, so an evacuated zone still received openings.

Balancers exclude the targets of evacuated zones, also from the fallback to silent targets. A daemon of such a zone passes openings on with the new code 839 zone_evacuated and delivers no further copy of a pending opening. Open flows, searches and registrations are unchanged, as are all decisions at revision 0.

--- a/include/tamaracklatch/core/result_code.h
+++ b/include/tamaracklatch/core/result_code.h
@@ -108,6 +108,7 @@
   kTargetDraining = 836,
   kTargetFull = 837,
   kOtherTargetChosen = 838,
+  kZoneEvacuated = 839,
 
   // admission and request: 900 to 999
   kClassUnknown = 900,
--- a/include/tamaracklatch/steering/segment_owner.h
+++ b/include/tamaracklatch/steering/segment_owner.h
@@ -129,7 +129,8 @@
   void OnNoListener() { found_no_listener_ = true; }
   // A roster entry that was added or has changed; other roles are ignored.
   void UpdateTarget(const roster_entry& entry, time_point now);
-  // Replaces the placement rules; rules with a lower revision are ignored.
+  // Replaces the placement rules, unless their revision is not higher. While
+  // they list this daemon's zone, no opening is delivered to the target.
   void SetPlacementRules(const placement_rules& rules);
   // The idle timeout in the current document set; 0: none.
   void SetIdleTimeout(duration limit) { idle_timeout_ = limit; }
@@ -178,6 +179,7 @@
                    actions* out);
   bool RecordVisit(steering_header* header, bool is_sure, time_point now);
   std::uint32_t ChooseLeastLoaded(const steering_header& header);
+  bool IsEvacuated() const;
   result_code CheckAdmission(time_point now) const;
 
   void Deliver(const steering_header& header, const segment& received,
--- a/include/tamaracklatch/steering/segment_router.h
+++ b/include/tamaracklatch/steering/segment_router.h
@@ -80,7 +80,8 @@
   // more.
   void SetRoutes(const document_set& set, time_point now);
 
-  // Replaces the placement rules; rules with a lower revision are ignored.
+  // Replaces the placement rules, unless their revision is not higher. No
+  // target of a zone that they list is chosen for an opening.
   void SetPlacementRules(const placement_rules& rules);
 
   // A roster entry of a target daemon was added or has changed, also to kGone;
--- a/src/steering/segment_owner.cc
+++ b/src/steering/segment_owner.cc
@@ -212,6 +212,8 @@
       Discard(result_code::kNotThisTarget, actions);
     } else if (status_.condition != target_condition::kReady) {
       Discard(result_code::kTargetDraining, actions);
+    } else if (IsEvacuated()) {
+      Discard(result_code::kZoneEvacuated, actions);
     } else {
       Deliver(header, received, flow, now, actions);
     }
@@ -250,6 +252,12 @@
   Deliver(header, received, flow, now, actions);
 }
 
+// Whether the placement rules list the zone of this daemon. A balancer that
+// does not have these rules yet may still send openings here.
+bool segment_owner::IsEvacuated() const {
+  return targets_->rules().IsEvacuated(settings_.zone);
+}
+
 // Returns kOk if the target can accept an opening now, else the reason.
 result_code segment_owner::CheckAdmission(time_point now) const {
   if (now < absence_known_until_) return result_code::kNoTarget;
@@ -262,6 +270,7 @@
     case target_condition::kReady:
       break;
   }
+  if (IsEvacuated()) return result_code::kZoneEvacuated;
   std::size_t room = settings_.max_flows;
   if (status_.max_connections != 0)
     room = std::min<std::size_t>(room, status_.max_connections);
--- a/src/steering/segment_router.cc
+++ b/src/steering/segment_router.cc
@@ -354,7 +354,7 @@
       flow, service, kOpeningCandidates,
       [](const directory_target& target) {
         return target.condition == target_condition::kReady &&
-               target.liveness == node_liveness::kSilent;
+               target.liveness == node_liveness::kSilent && !target.evacuated;
       },
       &ranked_);
   return !ranked_.empty();
--- a/src/steering/target_directory.cc
+++ b/src/steering/target_directory.cc
@@ -55,7 +55,9 @@
     last_joined_ = now;
   }
   target.generation = record.generation;
+  target.zone = record.zone;
   target.own_zone = record.zone == zone_;
+  target.evacuated = rules_.IsEvacuated(record.zone);
   target.liveness = entry.liveness;
   target.condition = record.condition;
   target.slots = std::max<std::uint32_t>(record.slots, 1);
@@ -72,7 +74,10 @@
 }
 
 void target_directory::SetRules(const placement_rules& rules) {
-  if (rules.revision > rules_.revision) rules_ = rules;
+  if (rules.revision <= rules_.revision) return;
+  rules_ = rules;
+  for (directory_target& target : targets_)
+    target.evacuated = rules_.IsEvacuated(target.zone);
 }
 
 target_index target_directory::Find(const endpoint& where) const {
--- a/src/steering/target_directory.h
+++ b/src/steering/target_directory.h
@@ -34,7 +34,9 @@
   std::uint64_t hash = 0;  // HashEndpoint of `where`
   std::uint64_t node = 0;  // NodeTag of this start of the daemon
   service_digest service;
-  bool own_zone = false;  // in the zone of this node
+  zone_name zone;
+  bool own_zone = false;   // in the zone of this node
+  bool evacuated = false;  // the placement rules list `zone`
   node_liveness liveness = node_liveness::kAlive;
   target_condition condition = target_condition::kUnreported;
   std::uint64_t generation = 0;  // of the node record; one per daemon start
@@ -52,10 +54,10 @@
   time_point known_since;  // when this start of the daemon became known
   time_point last_update;  // last Update of this target
 
-  // Whether the target is ready and its daemon alive.
+  // Whether the target is ready, its daemon alive and its zone not evacuated.
   bool AcceptsOpenings() const {
     return condition == target_condition::kReady &&
-           liveness == node_liveness::kAlive;
+           liveness == node_liveness::kAlive && !evacuated;
   }
   // Whether the target that started at `start` is known to have ended.
   bool HasEnded(std::uint64_t start) const;
@@ -81,7 +83,8 @@
   // entry is of another role.
   bool Update(const roster_entry& entry, time_point now);
 
-  // Replaces the placement rules; rules with a lower revision are ignored.
+  // Replaces the placement rules, unless their revision is not higher, and
+  // applies them to all known targets.
   void SetRules(const placement_rules& rules);
   const placement_rules& rules() const { return rules_; }
 
--- a/tests/steering/schedule_test.cc
+++ b/tests/steering/schedule_test.cc
@@ -86,6 +86,46 @@
   });
 }
 
+// Guards against openings at targets of an evacuated zone, and against flows
+// that an order breaks, while orders reach the nodes at different times.
+Test(schedule, holds_its_invariants_under_evacuations) {
+  test::CheckProperty("random schedules of evacuations", [] {
+    simulation_settings settings;
+    settings.seed = *rc::gen::arbitrary<std::uint64_t>();
+    settings.balancers = *rc::gen::inRange<std::size_t>(1, 5);
+    settings.target_vms = *rc::gen::inRange<std::size_t>(2, 9);
+    settings.fault_rate = static_cast<double>(*rc::gen::inRange(1, 12));
+    settings.zones = *rc::gen::inRange<std::size_t>(1, 4);
+    settings.evacuation_interval =
+        std::chrono::milliseconds(*rc::gen::inRange(300, 4000));
+    steering_simulation simulation(settings);
+    const std::string failed = simulation.Run();
+    RC_LOG() << "seed " << settings.seed << ": " << failed;
+    RC_ASSERT(failed.empty());
+  });
+}
+
+// Guards against a schedule that evacuates zones without effect.
+Test(schedule, covers_evacuations) {
+  steering_simulation::outcome_counts sum;
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    simulation_settings settings;
+    settings.seed = seed;
+    settings.zones = 3;
+    settings.evacuation_interval = std::chrono::seconds(2);
+    settings.fault_rate = 1.0;
+    steering_simulation simulation(settings);
+    const std::string failed = simulation.Run();
+    cr_assert(failed.empty(), "seed %lu: %s", seed, failed.c_str());
+    sum.served += simulation.counts().served;
+    sum.passed_evacuated += simulation.counts().passed_evacuated;
+    sum.opened_in_evacuation += simulation.counts().opened_in_evacuation;
+  }
+  cr_assert(sum.served > 200, "%zu", sum.served);
+  cr_assert(sum.passed_evacuated > 20, "%zu", sum.passed_evacuated);
+  cr_assert(sum.opened_in_evacuation > 50, "%zu", sum.opened_in_evacuation);
+}
+
 Test(schedule, serves_every_flow_without_faults) {
   simulation_settings settings;
   settings.lost = settings.duplicated = settings.delayed = 0.0;
--- a/tests/steering/segment_owner_test.cc
+++ b/tests/steering/segment_owner_test.cc
@@ -455,6 +455,54 @@
   cr_assert(fixture.FindAction<deliver_segment>() != nullptr);
 }
 
+// Guards against openings that reach the target of an evacuated zone: new ones
+// from a balancer without the order, and copies of pending ones. Open flows
+// continue, and the target returns with the withdrawal.
+Test(owner, delivers_no_opening_while_its_zone_is_evacuated) {
+  owner_fixture fixture;
+  fixture.Open(1);
+  fixture.Claim(2);
+  for (const std::uint32_t number : {2U, 3U}) {
+    roster_entry other = TargetAt(number, "web");
+    other.record.zone = "b";
+    fixture.owner->UpdateTarget(other, fixture.now);
+  }
+  fixture.owner->SetPlacementRules(test::EvacuationOf(7, {"a"}));
+  // Sent before the order in force.
+  fixture.owner->SetPlacementRules(test::EvacuationOf(6, {}));
+  fixture.Steer(OpeningOf(FlowOf(1), 1));
+  cr_assert(fixture.FindAction<deliver_segment>() == nullptr);
+  cr_assert(fixture.DiscardReason() == result_code::kZoneEvacuated);
+  fixture.Steer(OpeningOf(FlowOf(3)));
+  cr_assert(fixture.FindAction<deliver_segment>() == nullptr);
+  cr_assert(fixture.FindAction<pass_segment>() != nullptr);
+  cr_assert(fixture.owner->counters().passed.CountOf(
+                result_code::kZoneEvacuated) == 1);
+  for (const std::uint16_t port : {1, 2}) {
+    fixture.Request(port);
+    cr_assert(fixture.FindAction<deliver_segment>() != nullptr, "flow %d",
+              port);
+  }
+  fixture.owner->SetPlacementRules(test::EvacuationOf(8, {}));
+  fixture.Steer(OpeningOf(FlowOf(4)));
+  cr_assert(fixture.FindAction<deliver_segment>() != nullptr);
+}
+
+// Guards against openings that circulate or go unanswered while no zone takes
+// any: they end as if no target accepted openings.
+Test(owner, refuses_first_copies_while_all_zones_are_evacuated) {
+  for (const std::uint32_t copy : {0U, 1U}) {
+    owner_fixture fixture;
+    fixture.owner->SetPlacementRules(test::EvacuationOf(1, {"a"}));
+    fixture.Steer(OpeningOf(FlowOf(1), copy));
+    // Only the first copy visits the others, to establish that the flow is not
+    // open.
+    cr_assert((fixture.FindAction<pass_segment>() != nullptr) == (copy == 0));
+    fixture.Steer(MakeLastVisitHeader(FlowOf(2)), OpeningOf(FlowOf(2), copy));
+    cr_assert(fixture.HasReset() == (copy == 0));
+  }
+}
+
 Test(owner, searches_the_owner_of_an_unknown_flow) {
   owner_fixture fixture;
   fixture.listener.wanted = event_id::kSearchStarted;
--- a/tests/steering/segment_router_test.cc
+++ b/tests/steering/segment_router_test.cc
@@ -196,6 +196,58 @@
   }
 }
 
+// Guards against openings sent to an evacuated zone, also to its silent targets
+// when no other target is left, and against a zone that stays excluded.
+Test(router, sends_no_opening_to_an_evacuated_zone) {
+  struct row {
+    const char* name;
+    std::vector<zone_name> evacuated;
+    node_liveness others;  // of the targets in zone b
+    bool placed;
+  };
+  const row kRows[] = {
+      {"own zone", {"a"}, node_liveness::kAlive, true},
+      {"others silent", {"a"}, node_liveness::kSilent, true},
+      {"all zones", {"a", "b"}, node_liveness::kAlive, false},
+      {"all zones, silent", {"a", "b"}, node_liveness::kSilent, false}};
+  for (const row& each : kRows) {
+    router_fixture fixture;
+    // The order comes before some entries and after others.
+    for (std::uint32_t number = 1; number <= kTargets; ++number) {
+      roster_entry entry = TargetAt(number, "web");
+      if (number % 2 == 0) {
+        entry.record.zone = "b";
+        entry.liveness = each.others;
+      }
+      fixture.Update(entry);
+      if (number == 3) {
+        fixture.router->SetPlacementRules(
+            test::EvacuationOf(2, each.evacuated));
+        fixture.router->SetPlacementRules(test::EvacuationOf(1, {}));
+      }
+    }
+    for (std::uint16_t port = 1; port < 50; ++port) {
+      for (const std::uint32_t copy : {0U, 1U, 2U}) {
+        const endpoint to = To(fixture.Open(port, copy));
+        if (!each.placed) {
+          cr_assert((to != endpoint()) == (copy == 0), "%s", each.name);
+          continue;
+        }
+        cr_assert(to == DaemonAt(2) || to == DaemonAt(4) || to == DaemonAt(6),
+                  "%s", each.name);
+      }
+    }
+    if (!each.placed) cr_assert(fixture.router->counters().openings == 0);
+    fixture.router->SetPlacementRules(test::EvacuationOf(3, {}));
+    std::set<endpoint> to;
+    for (std::uint16_t port = 50; port < 150; ++port)
+      to.insert(To(fixture.Open(port)));
+    const bool all_alive = each.others == node_liveness::kAlive;
+    cr_assert(to.size() == (all_alive ? kTargets : kTargets / 2), "%s",
+              each.name);
+  }
+}
+
 Test(router, places_no_copy_of_an_opening_that_it_refused) {
   router_fixture fixture;
   const steering_decision refused = fixture.Send(test::OpeningOf(FlowOf(1, 7)));
--- a/tests/steering/segments.h
+++ b/tests/steering/segments.h
@@ -3,9 +3,12 @@
 #pragma once
 
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "steering/plain_codec.h"
 #include "tamaracklatch/control/document_set.h"
+#include "tamaracklatch/control/placement_rules.h"
 #include "tamaracklatch/roster/node_record.h"
 
 namespace tamaracklatch::test {
@@ -88,6 +91,14 @@
   return entry;
 }
 
+inline placement_rules EvacuationOf(std::uint64_t revision,
+                                    std::vector<zone_name> zones) {
+  placement_rules rules;
+  rules.revision = revision;
+  rules.evacuated_zones = std::move(zones);
+  return rules;
+}
+
 // A document set with one route.
 inline document_set SetOf(std::uint64_t version,
                           std::vector<service_share> shares) {
--- a/tests/steering/steering_simulation.cc
+++ b/tests/steering/steering_simulation.cc
@@ -35,6 +35,7 @@
 
 struct steering_simulation::balancer {
   endpoint where;
+  std::uint64_t rules_revision = 0;
   seen_changes seen;
   std::unique_ptr<segment_router> router;
 };
@@ -79,6 +80,7 @@
   bool draining_reported = false;        // reported to the daemon
   bool cut_off = false;                  // the network drops all messages
   std::uint64_t daemon_number = 0;       // starts of the daemon so far
+  placement_rules rules;                 // of this start of the daemon
   roster_entry entry;                    // last published
   std::uint64_t changes = 0;             // of `entry` so far
   std::uint64_t connection_changes = 0;  // cancels earlier confirmations
@@ -173,6 +175,7 @@
   }
   ScheduleNextFault();
   ScheduleRotation();
+  ScheduleEvacuation();
   if (settings_.power_loss_at != duration::zero())
     ScheduleAt(kStart + settings_.power_loss_at, [this] { LosePower(); });
   const time_point end = faults_end_ + settings_.recovery;
@@ -207,6 +210,8 @@
     counts_.returned += each->daemon->counters().returned;
     counts_.split += each->daemon->counters().split_searches;
     counts_.located += each->daemon->counters().located;
+    counts_.passed_evacuated +=
+        each->daemon->counters().passed.CountOf(result_code::kZoneEvacuated);
   }
   return failure_;
 }
@@ -231,6 +236,69 @@
   }
 }
 
+zone_name steering_simulation::ZoneOf(const target_vm& where) const {
+  const std::size_t number = where.where.address.bytes[15];
+  return std::string(1, static_cast<char>('a' + number % settings_.zones));
+}
+
+// Orders the evacuation of a random set of zones, again and again, and
+// withdraws it at the end of the fault phase.
+void steering_simulation::ScheduleEvacuation() {
+  if (settings_.evacuation_interval == duration::zero()) return;
+  const duration pause = RandomDuration(2 * settings_.evacuation_interval);
+  if (now_ + pause >= faults_end_) {
+    ScheduleAt(faults_end_, [this] { OrderEvacuation({}); });
+    return;
+  }
+  ScheduleAfter(pause, [this] {
+    std::vector<zone_name> zones;
+    for (std::size_t zone = 0; zone < settings_.zones; ++zone) {
+      if (RandomBool(0.4)) zones.emplace_back(1, static_cast<char>('a' + zone));
+    }
+    OrderEvacuation(std::move(zones));
+    ScheduleEvacuation();
+  });
+}
+
+// Sends the order to all nodes; it reaches each at a random time.
+void steering_simulation::OrderEvacuation(std::vector<zone_name> zones) {
+  rules_ = EvacuationOf(rules_.revision + 1, std::move(zones));
+  for (const auto& each : balancers_) {
+    ScheduleAfter(
+        RandomDuration(kMaxRosterDelay), [to = each.get(), rules = rules_] {
+          to->router->SetPlacementRules(rules);
+          to->rules_revision = std::max(to->rules_revision, rules.revision);
+        });
+  }
+  for (const auto& each : target_vms_) {
+    if (each->daemon != nullptr) SendRulesToDaemon(each.get());
+  }
+}
+
+// A VM that is cut off does not receive the rules; they are sent again once it
+// is reachable.
+void steering_simulation::SendRulesToDaemon(target_vm* to) {
+  if (rules_.revision == 0) return;
+  ScheduleAfter(RandomDuration(kMaxRosterDelay),
+                [this, to, number = to->daemon_number, rules = rules_] {
+                  if (to->daemon_number != number || to->cut_off) return;
+                  to->daemon->SetPlacementRules(rules);
+                  if (rules.revision > to->rules.revision) to->rules = rules;
+                });
+}
+
+bool steering_simulation::AllNodesHaveRules() const {
+  return std::all_of(balancers_.begin(), balancers_.end(),
+                     [this](const auto& each) {
+                       return each->rules_revision == rules_.revision;
+                     }) &&
+         std::all_of(target_vms_.begin(), target_vms_.end(),
+                     [this](const auto& each) {
+                       return each->daemon == nullptr ||
+                              each->rules.revision == rules_.revision;
+                     });
+}
+
 // Schedules a random fault or change after a random interval, and after it the
 // next one, until the end of the fault phase.
 void steering_simulation::ScheduleNextFault() {
@@ -294,6 +362,7 @@
                           if (each->changes > 0)
                             SendEntryToDaemon(where, *each);
                         }
+                        SendRulesToDaemon(where);
                         ScheduleConfirmation(where);
                       });
         break;
@@ -341,13 +410,14 @@
   settings.generation =
       static_cast<std::uint64_t>(now_.time_since_epoch().count());
   settings.service = where->record.service;
-  settings.zone = "a";
+  settings.zone = ZoneOf(*where);
   settings.max_flow_age = seconds(30);
   where->listener = std::make_unique<claim_listener>(this, where->where);
   where->daemon = std::make_unique<segment_owner>(settings, &codec_, now_,
                                                   where->listener.get());
   where->daemon->SetRosterConfirmed(false);
   where->seen.clear();
+  where->rules = {};
   const std::uint64_t number = ++where->daemon_number;
   ScheduleConfirmation(where);
   target_reports_settings report_settings;
@@ -359,7 +429,7 @@
   ProbeTarget(where);
   where->draining_reported = false;
   where->record.where = where->where;
-  where->record.zone = "a";
+  where->record.zone = ZoneOf(*where);
   where->record.slots = 2;
   where->record.condition = target_condition::kUnreported;
   where->record.target_start = 0;
@@ -370,6 +440,7 @@
     if (each->daemon == nullptr) continue;
     SendEntryToDaemon(where, *each);
   }
+  SendRulesToDaemon(where);
   ScheduleAfter(RandomDuration(settings_.max_first_report),
                 [this, where] { ReportTarget(where); });
   ScheduleAfter(kFirstReportLimit, [this, where, number] {
@@ -718,6 +789,14 @@
   const segment received = plain_codec::Make(bytes, false);
   if (received.opens() && target->draining && at->draining_reported)
     return Fail("an opening reached a draining target");
+  if (received.opens() && at->rules.IsEvacuated(ZoneOf(*at)))
+    return Fail("a daemon of an evacuated zone delivered an opening");
+  if (received.opens() && !rules_.evacuated_zones.empty() &&
+      AllNodesHaveRules()) {
+    ++counts_.opened_in_evacuation;
+    if (rules_.IsEvacuated(ZoneOf(*at)))
+      return Fail("an opening reached an evacuated zone after the last node");
+  }
   if (named_services_.count(target->service) == 0)
     return Fail("a segment reached a target of a service that no set names");
   const std::uint64_t flow = HashFlow(received.key);
--- a/tests/steering/steering_simulation.h
+++ b/tests/steering/steering_simulation.h
@@ -2,7 +2,8 @@
 // and in virtual time. The network loses, duplicates, delays and reorders
 // messages, and roster changes arrive late. Invariants are checked at every
 // step: for example, no reset for a flow that is open at a running target, no
-// opening at a target that drains, and no flow claimed by two targets.
+// opening at a target that drains or whose zone is evacuated, and no flow
+// claimed by two targets.
 #pragma once
 
 #include <cstdint>
@@ -41,6 +42,12 @@
   // All targets and target daemons end and start again at this time after the
   // start; 0: never.
   duration power_loss_at{0};
+  // Target VM n is in zone n % zones. In the fault phase, a random order
+  // replaces the evacuated zones after a random time of up to twice this
+  // interval, again and again; the last order, at its end, withdraws all. 0:
+  // never.
+  std::size_t zones = 1;
+  duration evacuation_interval{0};
   // Shares of the messages that are lost, duplicated and delayed by up to 700
   // ms more, all in the fault phase only.
   double lost = 0.05;
@@ -70,6 +77,10 @@
     std::size_t returned = 0;  // segments that targets returned
     std::size_t searched = 0;  // segments passed on to search for the owner
     std::size_t passed = 0;    // openings passed on
+    // Openings that daemons passed on because their zone was evacuated.
+    std::size_t passed_evacuated = 0;
+    // Openings delivered while an order that all nodes had was in force.
+    std::size_t opened_in_evacuation = 0;
     // Callers that at the end still take a flow for open that no target holds.
     std::size_t stranded = 0;
     std::size_t split = 0;    // searches in parts
@@ -99,6 +110,11 @@
   void ScheduleNextFault();
   void ScheduleRotation();
   void LosePower();
+  void ScheduleEvacuation();
+  void OrderEvacuation(std::vector<zone_name> zones);
+  void SendRulesToDaemon(target_vm* to);
+  bool AllNodesHaveRules() const;
+  zone_name ZoneOf(const target_vm& where) const;
   void StartServer(target_vm* where, const std::string& service);
   void CrashServer(target_vm* where);
   void StartDaemon(target_vm* where);
@@ -151,6 +167,7 @@
   // Number of balancers, from the first on, that receive callers' segments.
   std::size_t in_rotation_ = 0;
   document_set set_;
+  placement_rules rules_;                         // the last order
   std::set<std::string> named_services_;          // of all document sets so far
   std::unordered_set<std::string> caller_bytes_;  // sent by any caller
   std::unordered_set<std::string> target_bytes_;  // sent by any target
