Prefer targets of the balancer's zone as candidates for openings

Bytes sent between zones have a price, and of three candidates often none is in the balancer's zone. The candidates are now the first two of the flow's order in the own zone and the first two of all zones, filled up to three from all zones, so that the three copies of an opening still go to different targets. Where all targets are in the own zone or none is, the candidates are the first three as before.

--- a/src/steering/segment_router.cc
+++ b/src/steering/segment_router.cc
@@ -1,5 +1,6 @@
-// Routing of openings by load to one of the first targets in the flow's order,
-// and of other segments to the cached owner or along the search order.
+// Routing of openings by load to one of the first targets in the flow's order
+// in the own zone and in all zones, and of other segments to the cached owner
+// or along the search order.
 #include "tamaracklatch/steering/segment_router.h"
 
 #include <algorithm>
@@ -17,9 +18,6 @@
 namespace tamaracklatch {
 namespace {
 
-// An opening goes to one of this many targets, the first in the flow's order.
-constexpr std::size_t kOpeningCandidates = 3;
-
 // Terms of the load by which targets are compared, in 1/256 of a slot.
 constexpr double kOpeningLoad = 256.0;   // added for each opening just sent
 constexpr double kIdleLoad = 64.0;       // base load, also of an idle target
@@ -345,14 +343,14 @@
 // Fills ranked_ with the candidates for an opening; false if there are none.
 bool segment_router::RankCandidates(std::uint64_t flow,
                                     const service_digest& service) {
-  targets_->Rank(
-      flow, service, kOpeningCandidates,
+  targets_->RankByZone(
+      flow, service,
       [](const directory_target& target) { return target.AcceptsOpenings(); },
       &ranked_);
   if (!ranked_.empty()) return true;
   // A silent daemon may still be reachable, so it is used if no other is left.
-  targets_->Rank(
-      flow, service, kOpeningCandidates,
+  targets_->RankByZone(
+      flow, service,
       [](const directory_target& target) {
         return target.condition == target_condition::kReady &&
                target.liveness == node_liveness::kSilent;
--- a/src/steering/target_directory.h
+++ b/src/steering/target_directory.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "steering/endpoint_hash.h"
+#include "steering/opening_candidates.h"
 #include "tamaracklatch/control/placement_rules.h"
 #include "tamaracklatch/roster/node_record.h"
 #include "tamaracklatch/steering/steering_header.h"
@@ -104,6 +105,12 @@
   void Rank(std::uint64_t flow, const service_digest& service, std::size_t most,
             Predicate accepts, std::vector<target_index>* out);
 
+  // Sets `out` to the candidates of an opening, as opening_candidates selects
+  // them, of those targets of the service for which `accepts` is true.
+  template <typename Predicate>
+  void RankByZone(std::uint64_t flow, const service_digest& service,
+                  Predicate accepts, std::vector<target_index>* out) const;
+
   // Sets `out` to the first `most` possible owners, of those with an alive
   // daemon, of a flow that opened at the service; in its search order.
   void RankOwners(std::uint64_t flow, const service_digest& service,
@@ -220,4 +227,21 @@
   for (std::size_t at = 0; at < count; ++at) out->push_back(ranking_[at].index);
 }
 
+template <typename Predicate>
+void target_directory::RankByZone(std::uint64_t flow,
+                                  const service_digest& service,
+                                  Predicate accepts,
+                                  std::vector<target_index>* out) const {
+  opening_candidates candidates;
+  const auto found = services_.find(service);
+  if (found != services_.end()) {
+    for (const target_index index : found->second.targets) {
+      const directory_target& target = targets_[index];
+      if (accepts(target))
+        candidates.Add(HashPair(flow, target.hash), index, target.own_zone);
+    }
+  }
+  candidates.List(out);
+}
+
 }  // namespace tamaracklatch
--- a/tests/steering/load_balance_test.cc
+++ b/tests/steering/load_balance_test.cc
@@ -2,6 +2,7 @@
 // speed and callers with long flows, and tests service times that are unknown,
 // wrong or old.
 #include <cmath>
+#include <cstring>
 #include <functional>
 #include <memory>
 #include <queue>
@@ -45,6 +46,7 @@
   double p99_wait;  // seconds
   double least;     // as busiest, of the least utilized target
   double flows_of_first;  // flows at the first target, relative to the mean
+  double in_zone;         // share of the flows at targets of the caller's zone
 };
 
 // How the service time that a target reports differs from its estimate.
@@ -110,7 +112,8 @@
     return {most * kTargets / sum, waits_[waits_.size() * 99 / 100],
             least * kTargets / sum,
             static_cast<double>(targets_[0].flows.open_flows() * kTargets) /
-                static_cast<double>(open)};
+                static_cast<double>(open),
+            opened_in_zone_ / opened_};
   }
 
  private:
@@ -200,14 +203,10 @@
           return each;
       return ranked[0];
     }
-    view.Rank(hash, web, way_ == way::kWaitOf4 ? 2 : 3, any, &ranked);
     if (way_ == way::kWaitOf4) {
-      std::vector<target_index> near;
-      view.Rank(
-          hash, web, 2,
-          [](const directory_target& target) { return target.own_zone; },
-          &near);
-      ranked.insert(ranked.end(), near.begin(), near.end());
+      view.RankByZone(hash, web, any, &ranked);
+    } else {
+      view.Rank(hash, web, 3, any, &ranked);
     }
     return *std::min_element(ranked.begin(), ranked.end(),
                              [&](auto left, auto right) {
@@ -230,6 +229,7 @@
     flow->hash = HashFlow(flow->key);
     const std::size_t zone = opened_ % kZones;
     flow->target = Choose(zone, flow->hash);
+    opened_in_zone_ += views_[zone].At(flow->target).own_zone ? 1.0 : 0.0;
     auto& [count, since] = sent_[zone][flow->target];
     count = count * std::exp(since - now_) + 1.0;
     since = now_;
@@ -312,8 +312,9 @@
   // By zone and target: recent openings, and when that was.
   std::vector<std::vector<std::pair<double, double>>> sent_;
   std::vector<std::shared_ptr<model_flow>> open_;
-  std::uint16_t opened_ = 0;   // flows; also the last port
-  std::vector<double> waits_;  // seconds
+  std::uint16_t opened_ = 0;     // flows; also the last port
+  double opened_in_zone_ = 0.0;  // flows at a target of the caller's zone
+  std::vector<double> waits_;    // seconds
 };
 
 // Guards against long flows at slow targets beyond their capacity.
@@ -331,13 +332,15 @@
   std::vector<outcome> outcomes;
   for (const row& each : kRows) {
     outcomes.push_back(model(each.chosen).Run());
-    std::printf("%-44s busiest/mean %.3f, p99 wait %.1f ms\n", each.name,
-                outcomes.back().busiest, outcomes.back().p99_wait * 1e3);
+    std::printf("%-44s busiest/mean %.3f, p99 wait %.1f ms, own zone %.2f\n",
+                each.name, outcomes.back().busiest,
+                outcomes.back().p99_wait * 1e3, outcomes.back().in_zone);
   }
   for (const std::size_t chosen : {1U, 2U}) {
     cr_expect(outcomes[chosen].busiest < outcomes[0].busiest);
     cr_expect(outcomes[chosen].p99_wait < outcomes[0].p99_wait);
   }
+  cr_expect(outcomes[2].in_zone > outcomes[1].in_zone);
 }
 
 // Guards against targets without work because of estimates that are unknown or
@@ -359,6 +362,40 @@
   }
 }
 
+// Guards against openings that leave the caller's zone by default, and against
+// fewer candidates than copies where the own zone has few targets.
+Test(load_balance, candidates_are_the_first_two_of_the_zone_and_of_all) {
+  struct row {
+    const char* own;  // whether the targets, in the flow's order, are own ones
+    std::vector<std::uint32_t> expected;
+  };
+  const row kRows[] = {{"------", {0, 1, 2}},
+                       {"++++++", {0, 1, 2}},
+                       {"---++-", {0, 1, 3, 4}},
+                       {"-+--+-", {0, 1, 4}},
+                       {"+-+---", {0, 1, 2}},
+                       {"+----+", {0, 1, 5}},
+                       {"+-----", {0, 1, 2}},
+                       {"---+--", {0, 1, 3}},
+                       {"-+", {0, 1}},
+                       {"-", {0}},
+                       {"", {}}};
+  for (const row& each : kRows) {
+    const std::size_t count = std::strlen(each.own);
+    for (std::size_t turn = 0; turn < std::max<std::size_t>(count, 1); ++turn) {
+      opening_candidates candidates;
+      for (std::size_t step = 0; step < count; ++step) {
+        const std::size_t at = (turn + step * 5) % count;
+        candidates.Add(100 - at, static_cast<std::uint32_t>(at),
+                       each.own[at] == '+');
+      }
+      std::vector<std::uint32_t> listed;
+      candidates.List(&listed);
+      cr_expect(listed == each.expected, "%s from %zu", each.own, turn);
+    }
+  }
+}
+
 // Guards against flows that gather at a target that accepts them and answers
 // nothing.
 Test(load_balance, a_target_that_answers_nothing_does_not_attract_flows) {
