--- a/src/steering/target_directory.h
+++ b/src/steering/target_directory.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "steering/endpoint_hash.h"
+#include "steering/opening_candidates.h"
 #include "tamaracklatch/control/placement_rules.h"
 #include "tamaracklatch/roster/node_record.h"
 #include "tamaracklatch/steering/steering_header.h"
@@ -109,6 +110,12 @@
   void Rank(std::uint64_t flow, const service_digest& service, std::size_t most,
             Predicate accepts, std::vector<target_index>* out);
 
+  // Sets `out` to the candidates of an opening, as opening_candidates selects
+  // them, of those targets of the service for which `accepts` is true.
+  template <typename Predicate>
+  void RankByZone(std::uint64_t flow, const service_digest& service,
+                  Predicate accepts, std::vector<target_index>* out) const;
+
   // Sets `out` to the first `most` possible owners, of those with an alive
   // daemon, of a flow that opened at the service; in its search order.
   void RankOwners(std::uint64_t flow, const service_digest& service,
@@ -120,6 +127,10 @@
   double RelativeTo(const service_digest& service,
                     std::uint32_t service_time) const;
 
+  // The mean reported load per slot, in 1/256, of the targets of the service
+  // that accepted openings at its last Update.
+  double MeanLoad(const service_digest& service) const;
+
   // The services of all known targets, in ascending order.
   std::vector<service_digest> Services() const;
 
@@ -180,6 +191,7 @@
   void ApplyRules(directory_target* target) const;
   void RemoveFromService(const directory_target& target, target_index index);
   void UpdateServiceTimes(const service_digest& service);
+  void UpdateMeanLoad(const service_digest& service);
   // Whether the target is listed under the service of that name.
   bool IsListedUnder(const directory_target& target,
                      const std::string& service) const;
@@ -195,6 +207,7 @@
     std::vector<target_index> targets;  // never empty
     // Median of the known service times of targets that are not gone; 0: none.
     std::uint32_t service_time = 0;
+    double load = 0.0;  // mean per slot, as MeanLoad
   };
   std::unordered_map<service_digest, service_targets, service_digest_hash>
       services_;
@@ -227,4 +240,21 @@
   for (std::size_t at = 0; at < count; ++at) out->push_back(ranking_[at].index);
 }
 
+template <typename Predicate>
+void target_directory::RankByZone(std::uint64_t flow,
+                                  const service_digest& service,
+                                  Predicate accepts,
+                                  std::vector<target_index>* out) const {
+  opening_candidates candidates;
+  const auto found = services_.find(service);
+  if (found != services_.end()) {
+    for (const target_index index : found->second.targets) {
+      const directory_target& target = targets_[index];
+      if (accepts(target))
+        candidates.Add(HashPair(flow, target.hash), index, target.own_zone);
+    }
+  }
+  candidates.List(out);
+}
+
 }  // namespace tamaracklatch
--- a/tests/steering/load_balance_test.cc
+++ b/tests/steering/load_balance_test.cc
@@ -1,7 +1,9 @@
 // Compares ways to choose a target in virtual time, with targets of unequal
 // speed and callers with long flows, and tests service times that are unknown,
 // wrong or old.
+#include <array>
 #include <cmath>
+#include <cstring>
 #include <functional>
 #include <memory>
 #include <queue>
@@ -36,7 +38,6 @@
 constexpr double kFlowRate = 1.2;      // mean requests per second of a flow
 constexpr double kWarmUp = 60.0;       // seconds, not measured
 constexpr double kEnd = 180.0;         // seconds
-constexpr double kReport = 0.5;        // seconds between reports of a target
 
 double SpeedOf(std::size_t target) { return target % 4 == 0 ? 0.55 : 1.2; }
 
@@ -45,6 +46,7 @@
   double p99_wait;  // seconds
   double least;     // as busiest, of the least utilized target
   double flows_of_first;  // flows at the first target, relative to the mean
+  double in_zone;         // share of the flows at targets of the caller's zone
 };
 
 // How the service time that a target reports differs from its estimate.
@@ -69,9 +71,17 @@
 class model {
  public:
   // `fault`: of every second target. `answers`: the first target answers.
+  // `report`: seconds between reports of a target. `blends`: by their age.
   explicit model(way chosen, report_fault fault = report_fault::kNone,
-                 bool answers = true)
-      : way_(chosen), fault_(fault), answers_(answers), targets_(kTargets) {
+                 bool answers = true, double report = 0.5, bool blends = true,
+                 std::uint64_t seed = 20261206)
+      : way_(chosen),
+        fault_(fault),
+        answers_(answers),
+        report_(report),
+        blends_(blends),
+        random_(seed),
+        targets_(kTargets) {
     for (std::size_t zone = 0; zone < kZones; ++zone)
       views_.emplace_back(std::string(1, static_cast<char>('a' + zone)),
                           seconds(60));
@@ -110,7 +120,8 @@
     return {most * kTargets / sum, waits_[waits_.size() * 99 / 100],
             least * kTargets / sum,
             static_cast<double>(targets_[0].flows.open_flows() * kTargets) /
-                static_cast<double>(open)};
+                static_cast<double>(open),
+            opened_in_zone_ / opened_};
   }
 
  private:
@@ -148,7 +159,7 @@
     entry.record.zone = std::string(1, static_cast<char>('a' + at % kZones));
     entry.record.service_time = known;
     for (target_directory& view : views_) view.Update(entry, Now());
-    At(now_ + kReport * (0.5 + Uniform()), [this, at] { Report(at); });
+    At(now_ + report_ * (0.5 + Uniform()), [this, at] { Report(at); });
   }
 
   std::uint32_t Distort(std::size_t at, std::uint32_t estimate) const {
@@ -164,7 +175,11 @@
     const directory_target& at = views_[zone].At(target);
     const auto& [count, since] = sent_[zone][target];
     const double sent = count * std::exp(since - now_);
-    return ExpectedLoad(at, {sent * 256.0, 64.0}) + (at.own_zone ? 0.0 : 24.0);
+    const double reported =
+        blends_ ? ReportedLoad(at, views_[zone].MeanLoad(at.service), Now())
+                : at.load;
+    return ExpectedLoad(at, reported, {sent * 256.0, 64.0}) +
+           (at.own_zone ? 0.0 : 24.0);
   }
 
   std::size_t Choose(std::size_t zone, std::uint64_t hash) {
@@ -200,14 +215,10 @@
           return each;
       return ranked[0];
     }
-    view.Rank(hash, web, way_ == way::kWaitOf4 ? 2 : 3, any, &ranked);
     if (way_ == way::kWaitOf4) {
-      std::vector<target_index> near;
-      view.Rank(
-          hash, web, 2,
-          [](const directory_target& target) { return target.own_zone; },
-          &near);
-      ranked.insert(ranked.end(), near.begin(), near.end());
+      view.RankByZone(hash, web, any, &ranked);
+    } else {
+      view.Rank(hash, web, 3, any, &ranked);
     }
     return *std::min_element(ranked.begin(), ranked.end(),
                              [&](auto left, auto right) {
@@ -230,6 +241,7 @@
     flow->hash = HashFlow(flow->key);
     const std::size_t zone = opened_ % kZones;
     flow->target = Choose(zone, flow->hash);
+    opened_in_zone_ += views_[zone].At(flow->target).own_zone ? 1.0 : 0.0;
     auto& [count, since] = sent_[zone][flow->target];
     count = count * std::exp(since - now_) + 1.0;
     since = now_;
@@ -302,7 +314,9 @@
   way way_;
   report_fault fault_;
   bool answers_;
-  std::mt19937_64 random_{20261206};
+  double report_;
+  bool blends_;
+  std::mt19937_64 random_;
   std::priority_queue<timed> events_;
   std::uint64_t number_ = 0;
   double now_ = 0.0;
@@ -312,8 +326,9 @@
   // By zone and target: recent openings, and when that was.
   std::vector<std::vector<std::pair<double, double>>> sent_;
   std::vector<std::shared_ptr<model_flow>> open_;
-  std::uint16_t opened_ = 0;   // flows; also the last port
-  std::vector<double> waits_;  // seconds
+  std::uint16_t opened_ = 0;     // flows; also the last port
+  double opened_in_zone_ = 0.0;  // flows at a target of the caller's zone
+  std::vector<double> waits_;    // seconds
 };
 
 // Guards against long flows at slow targets beyond their capacity.
@@ -331,13 +346,15 @@
   std::vector<outcome> outcomes;
   for (const row& each : kRows) {
     outcomes.push_back(model(each.chosen).Run());
-    std::printf("%-44s busiest/mean %.3f, p99 wait %.1f ms\n", each.name,
-                outcomes.back().busiest, outcomes.back().p99_wait * 1e3);
+    std::printf("%-44s busiest/mean %.3f, p99 wait %.1f ms, own zone %.2f\n",
+                each.name, outcomes.back().busiest,
+                outcomes.back().p99_wait * 1e3, outcomes.back().in_zone);
   }
   for (const std::size_t chosen : {1U, 2U}) {
     cr_expect(outcomes[chosen].busiest < outcomes[0].busiest);
     cr_expect(outcomes[chosen].p99_wait < outcomes[0].p99_wait);
   }
+  cr_expect(outcomes[2].in_zone > outcomes[1].in_zone);
 }
 
 // Guards against targets without work because of estimates that are unknown or
@@ -359,6 +376,56 @@
   }
 }
 
+// Guards against openings that leave the caller's zone by default, and against
+// fewer candidates than copies where the own zone has few targets.
+Test(load_balance, candidates_are_the_first_two_of_the_zone_and_of_all) {
+  struct row {
+    const char* own;  // whether the targets, in the flow's order, are own ones
+    std::vector<std::uint32_t> expected;
+  };
+  const row kRows[] = {{"------", {0, 1, 2}},
+                       {"++++++", {0, 1, 2}},
+                       {"---++-", {0, 1, 3, 4}},
+                       {"-+--+-", {0, 1, 4}},
+                       {"+-+---", {0, 1, 2}},
+                       {"+----+", {0, 1, 5}},
+                       {"+-----", {0, 1, 2}},
+                       {"---+--", {0, 1, 3}},
+                       {"-+", {0, 1}},
+                       {"-", {0}},
+                       {"", {}}};
+  for (const row& each : kRows) {
+    const std::size_t count = std::strlen(each.own);
+    for (std::size_t turn = 0; turn < std::max<std::size_t>(count, 1); ++turn) {
+      opening_candidates candidates;
+      for (std::size_t step = 0; step < count; ++step) {
+        const std::size_t at = (turn + step * 5) % count;
+        candidates.Add(100 - at, static_cast<std::uint32_t>(at),
+                       each.own[at] == '+');
+      }
+      std::vector<std::uint32_t> listed;
+      candidates.List(&listed);
+      cr_expect(listed == each.expected, "%s from %zu", each.own, turn);
+    }
+  }
+}
+
+// Guards against flows that gather at a target that had little load long ago.
+Test(load_balance, old_reports_are_blended_with_the_mean) {
+  std::array<double, 2> waits{};  // seconds, sums over the seeds
+  for (const bool blends : {false, true}) {
+    for (const std::uint64_t seed : {1U, 2U, 3U, 4U}) {
+      waits[blends ? 1 : 0] +=
+          model(way::kWaitOf4, report_fault::kNone, true, 12.0, blends, seed)
+              .Run()
+              .p99_wait;
+    }
+  }
+  std::printf("reports each 12 s: p99 wait %.1f ms, blended %.1f ms\n",
+              waits[0] * 250.0, waits[1] * 250.0);
+  cr_expect(waits[1] < waits[0]);
+}
+
 // Guards against flows that gather at a target that accepts them and answers
 // nothing.
 Test(load_balance, a_target_that_answers_nothing_does_not_attract_flows) {
