Let recent openings decay before the test of a withdrawn evacuation

With candidates of the own zone, 100 openings went to zone a alone, since the 150 openings before had gone to zone b and still counted as load. The check that all targets get openings again is unchanged.

--- a/tests/steering/segment_router_test.cc
+++ b/tests/steering/segment_router_test.cc
@@ -239,6 +239,8 @@
     }
     if (!each.placed) cr_assert(fixture.router->counters().openings == 0);
     fixture.router->SetPlacementRules(test::EvacuationOf(3, {}));
+    // The openings sent before, to zone b alone, no longer count as load.
+    fixture.now += seconds(30);
     std::set<endpoint> to;
     for (std::uint16_t port = 50; port < 150; ++port)
       to.insert(To(fixture.Open(port)));
