--- a/src/steering/opening_candidates.h
+++ b/src/steering/opening_candidates.h
@@ -42,15 +42,15 @@
     std::uint64_t weight = 0;
     std::uint32_t target = 0;
   };
-  // The first `kMost` of the order, among the targets added.
-  template <std::size_t kMost>
+  // The first `Most` of the order, among the targets added.
+  template <std::size_t Most>
   struct head {
-    std::array<ranked, kMost> first;
+    std::array<ranked, Most> first;
     std::size_t count = 0;
 
     void Add(ranked added) {
-      if (count == kMost) {
-        if (added.weight <= first[kMost - 1].weight) return;
+      if (count == Most) {
+        if (added.weight <= first[Most - 1].weight) return;
       } else {
         ++count;
       }
