Blend old load reports with the mean load of the service

A balancer that gets reports rarely sends openings for long to a target that had little load. The weight of a report older than 1 s now falls to 1/2 at 5 s, and the rest is the mean load per slot of the service. It falls no further, since an unchanged load is not reported again.

--- a/src/steering/expected_load.h
+++ b/src/steering/expected_load.h
@@ -24,14 +24,25 @@
   double base = 0.0;      // also of an idle target
 };
 
+// The reported load, in 1/256 of a slot. A report older than 1 s is blended
+// with `mean`, the mean load per slot of the service: its weight falls to 1/2
+// at 5 s. It falls no further, since a load that does not change is not
+// reported again.
+double ReportedLoad(const directory_target& target, double mean,
+                    time_point now);
+
 // The expected load per slot, in 1/256. The reported load already reflects the
 // speed of the target, since requests wait longer at a slow one; unreported
 // load is scaled by the relative service time.
-inline double ExpectedLoad(const directory_target& target,
+inline double ExpectedLoad(const directory_target& target, double reported,
                            const unreported_load& added) {
   const double relative = target.relative_service_time;
-  return (target.load + added.openings * relative + added.base * relative) /
+  return (reported + added.openings * relative + added.base * relative) /
          target.slots;
 }
+inline double ExpectedLoad(const directory_target& target,
+                           const unreported_load& added) {
+  return ExpectedLoad(target, target.load, added);
+}
 
 }  // namespace tamaracklatch
--- a/src/steering/segment_router.cc
+++ b/src/steering/segment_router.cc
@@ -403,7 +403,8 @@
                                      time_point now) const {
   const directory_target& at = targets_->At(target);
   const double sent = RecentOpenings(target, now) * kOpeningLoad;
-  double load = ExpectedLoad(at, {sent, kIdleLoad});
+  const double reported = ReportedLoad(at, targets_->MeanLoad(at.service), now);
+  double load = ExpectedLoad(at, reported, {sent, kIdleLoad});
   if (at.cold_until > now) load *= kColdFactor;
   return at.own_zone ? load : load + kOtherZoneLoad;
 }
--- a/src/steering/target_directory.cc
+++ b/src/steering/target_directory.cc
@@ -84,6 +84,8 @@
     UpdateServiceTimes(service_before);
   if (counted != counted_before || (changes_service && counted != 0))
     UpdateServiceTimes(target.service);
+  if (changes_service) UpdateMeanLoad(service_before);
+  UpdateMeanLoad(target.service);
   return true;
 }
 
@@ -104,6 +106,26 @@
   }
 }
 
+void target_directory::UpdateMeanLoad(const service_digest& service) {
+  const auto found = services_.find(service);
+  if (found == services_.end()) return;
+  std::uint64_t load = 0;
+  std::uint64_t slots = 0;
+  for (const target_index index : found->second.targets) {
+    const directory_target& target = targets_[index];
+    if (!target.AcceptsOpenings()) continue;
+    load += target.load;
+    slots += target.slots;
+  }
+  found->second.load =
+      slots == 0 ? 0.0 : static_cast<double>(load) / static_cast<double>(slots);
+}
+
+double target_directory::MeanLoad(const service_digest& service) const {
+  const auto found = services_.find(service);
+  return found == services_.end() ? 0.0 : found->second.load;
+}
+
 double target_directory::RelativeTo(const service_digest& service,
                                     std::uint32_t service_time) const {
   const auto found = services_.find(service);
--- a/src/steering/target_directory.h
+++ b/src/steering/target_directory.h
@@ -122,6 +122,10 @@
   double RelativeTo(const service_digest& service,
                     std::uint32_t service_time) const;
 
+  // The mean reported load per slot, in 1/256, of the targets of the service
+  // that accepted openings at its last Update.
+  double MeanLoad(const service_digest& service) const;
+
   // The services of all known targets, in ascending order.
   std::vector<service_digest> Services() const;
 
@@ -180,6 +184,7 @@
                         const endpoint& self) const;
   void RemoveFromService(const directory_target& target, target_index index);
   void UpdateServiceTimes(const service_digest& service);
+  void UpdateMeanLoad(const service_digest& service);
   // Whether the target is listed under the service of that name.
   bool IsListedUnder(const directory_target& target,
                      const std::string& service) const;
@@ -195,6 +200,7 @@
     std::vector<target_index> targets;  // never empty
     // Median of the known service times of targets that are not gone; 0: none.
     std::uint32_t service_time = 0;
+    double load = 0.0;  // mean per slot, as MeanLoad
   };
   std::unordered_map<service_digest, service_targets, service_digest_hash>
       services_;
--- a/tests/steering/load_balance_test.cc
+++ b/tests/steering/load_balance_test.cc
@@ -1,6 +1,7 @@
 // Compares ways to choose a target in virtual time, with targets of unequal
 // speed and callers with long flows, and tests service times that are unknown,
 // wrong or old.
+#include <array>
 #include <cmath>
 #include <cstring>
 #include <functional>
@@ -37,7 +38,6 @@
 constexpr double kFlowRate = 1.2;      // mean requests per second of a flow
 constexpr double kWarmUp = 60.0;       // seconds, not measured
 constexpr double kEnd = 180.0;         // seconds
-constexpr double kReport = 0.5;        // seconds between reports of a target
 
 double SpeedOf(std::size_t target) { return target % 4 == 0 ? 0.55 : 1.2; }
 
@@ -71,9 +71,17 @@
 class model {
  public:
   // `fault`: of every second target. `answers`: the first target answers.
+  // `report`: seconds between reports of a target. `blends`: by their age.
   explicit model(way chosen, report_fault fault = report_fault::kNone,
-                 bool answers = true)
-      : way_(chosen), fault_(fault), answers_(answers), targets_(kTargets) {
+                 bool answers = true, double report = 0.5, bool blends = true,
+                 std::uint64_t seed = 20261206)
+      : way_(chosen),
+        fault_(fault),
+        answers_(answers),
+        report_(report),
+        blends_(blends),
+        random_(seed),
+        targets_(kTargets) {
     for (std::size_t zone = 0; zone < kZones; ++zone)
       views_.emplace_back(std::string(1, static_cast<char>('a' + zone)),
                           seconds(60));
@@ -151,7 +159,7 @@
     entry.record.zone = std::string(1, static_cast<char>('a' + at % kZones));
     entry.record.service_time = known;
     for (target_directory& view : views_) view.Update(entry, Now());
-    At(now_ + kReport * (0.5 + Uniform()), [this, at] { Report(at); });
+    At(now_ + report_ * (0.5 + Uniform()), [this, at] { Report(at); });
   }
 
   std::uint32_t Distort(std::size_t at, std::uint32_t estimate) const {
@@ -167,7 +175,11 @@
     const directory_target& at = views_[zone].At(target);
     const auto& [count, since] = sent_[zone][target];
     const double sent = count * std::exp(since - now_);
-    return ExpectedLoad(at, {sent * 256.0, 64.0}) + (at.own_zone ? 0.0 : 24.0);
+    const double reported =
+        blends_ ? ReportedLoad(at, views_[zone].MeanLoad(at.service), Now())
+                : at.load;
+    return ExpectedLoad(at, reported, {sent * 256.0, 64.0}) +
+           (at.own_zone ? 0.0 : 24.0);
   }
 
   std::size_t Choose(std::size_t zone, std::uint64_t hash) {
@@ -302,7 +314,9 @@
   way way_;
   report_fault fault_;
   bool answers_;
-  std::mt19937_64 random_{20261206};
+  double report_;
+  bool blends_;
+  std::mt19937_64 random_;
   std::priority_queue<timed> events_;
   std::uint64_t number_ = 0;
   double now_ = 0.0;
@@ -396,6 +410,22 @@
   }
 }
 
+// Guards against flows that gather at a target that had little load long ago.
+Test(load_balance, old_reports_are_blended_with_the_mean) {
+  std::array<double, 2> waits{};  // seconds, sums over the seeds
+  for (const bool blends : {false, true}) {
+    for (const std::uint64_t seed : {1U, 2U, 3U, 4U}) {
+      waits[blends ? 1 : 0] +=
+          model(way::kWaitOf4, report_fault::kNone, true, 12.0, blends, seed)
+              .Run()
+              .p99_wait;
+    }
+  }
+  std::printf("reports each 12 s: p99 wait %.1f ms, blended %.1f ms\n",
+              waits[0] * 250.0, waits[1] * 250.0);
+  cr_expect(waits[1] < waits[0]);
+}
+
 // Guards against flows that gather at a target that accepts them and answers
 // nothing.
 Test(load_balance, a_target_that_answers_nothing_does_not_attract_flows) {
