--- a/tests/steering/load_balance_test.cc
+++ b/tests/steering/load_balance_test.cc
@@ -383,18 +383,18 @@
     const char* own;  // whether the targets, in the flow's order, are own ones
     std::vector<std::uint32_t> expected;
   };
-  const row kRows[] = {{"------", {0, 1, 2}},
-                       {"++++++", {0, 1, 2}},
-                       {"---++-", {0, 1, 3, 4}},
-                       {"-+--+-", {0, 1, 4}},
-                       {"+-+---", {0, 1, 2}},
-                       {"+----+", {0, 1, 5}},
-                       {"+-----", {0, 1, 2}},
-                       {"---+--", {0, 1, 3}},
-                       {"-+", {0, 1}},
-                       {"-", {0}},
-                       {"", {}}};
-  for (const row& each : kRows) {
+  const row rows[] = {{"------", {0, 1, 2}},
+                      {"++++++", {0, 1, 2}},
+                      {"---++-", {0, 1, 3, 4}},
+                      {"-+--+-", {0, 1, 4}},
+                      {"+-+---", {0, 1, 2}},
+                      {"+----+", {0, 1, 5}},
+                      {"+-----", {0, 1, 2}},
+                      {"---+--", {0, 1, 3}},
+                      {"-+", {0, 1}},
+                      {"-", {0}},
+                      {"", {}}};
+  for (const row& each : rows) {
     const std::size_t count = std::strlen(each.own);
     for (std::size_t turn = 0; turn < std::max<std::size_t>(count, 1); ++turn) {
       opening_candidates candidates;
