--- a/src/steering/opening_candidates.h
+++ b/src/steering/opening_candidates.h
@@ -42,15 +42,15 @@
     std::uint64_t weight = 0;
     std::uint32_t target = 0;
   };
-  // The first `most` of the order, among the targets added.
-  template <std::size_t most>
+  // The first `Most` of the order, among the targets added.
+  template <std::size_t Most>
   struct head {
-    std::array<ranked, most> first;
+    std::array<ranked, Most> first;
     std::size_t count = 0;
 
     void Add(ranked added) {
-      if (count == most) {
-        if (added.weight <= first[most - 1].weight) return;
+      if (count == Most) {
+        if (added.weight <= first[Most - 1].weight) return;
       } else {
         ++count;
       }
