Limit the openings that a cold target receives per second

A target that has just started runs slowly, and the limits of the placement rules were only stored, so returning targets could get a rush of openings.

The target daemon keeps the times of the last deliveries, as many as the limit of its service, and passes an opening beyond it on with the new code 840 target_cold; a further copy of a pending opening is discarded. The limit holds for every closed span of one second and counts repeated copies. Balancers prefer candidates to which they did not recently send as many openings as the limit.

--- a/include/tamaracklatch/core/result_code.h
+++ b/include/tamaracklatch/core/result_code.h
@@ -109,6 +109,7 @@
   kTargetFull = 837,
   kOtherTargetChosen = 838,
   kZoneEvacuated = 839,
+  kTargetCold = 840,
 
   // admission and request: 900 to 999
   kClassUnknown = 900,
--- a/include/tamaracklatch/steering/segment_owner.h
+++ b/include/tamaracklatch/steering/segment_owner.h
@@ -28,6 +28,7 @@
 
 namespace tamaracklatch {
 
+class cold_admission;
 class delivery_cache;
 class owned_flows;
 class owner_registry;
@@ -130,7 +131,8 @@
   // A roster entry that was added or has changed; other roles are ignored.
   void UpdateTarget(const roster_entry& entry, time_point now);
   // Replaces the placement rules, unless their revision is not higher. While
-  // they list this daemon's zone, no opening is delivered to the target.
+  // they list this daemon's zone, no opening is delivered to the target; while
+  // the target is cold, no more of them than the limit of its service.
   void SetPlacementRules(const placement_rules& rules);
   // The idle timeout in the current document set; 0: none.
   void SetIdleTimeout(duration limit) { idle_timeout_ = limit; }
@@ -180,6 +182,7 @@
   bool RecordVisit(steering_header* header, bool is_sure, time_point now);
   std::uint32_t ChooseLeastLoaded(const steering_header& header);
   bool IsEvacuated() const;
+  bool IsAtColdLimit(time_point now) const;
   result_code CheckAdmission(time_point now) const;
 
   void Deliver(const steering_header& header, const segment& received,
@@ -221,6 +224,7 @@
   bool roster_confirmed_ = false;
   std::unique_ptr<target_directory> targets_;
   std::unique_ptr<owned_flows> flows_;
+  std::unique_ptr<cold_admission> cold_admission_;
   std::unique_ptr<delivery_cache> deliveries_;
   std::unique_ptr<owner_registry> registry_;
   std::unique_ptr<search_collector> collector_;
--- a/include/tamaracklatch/steering/segment_router.h
+++ b/include/tamaracklatch/steering/segment_router.h
@@ -169,6 +169,9 @@
   bool RankCandidates(std::uint64_t flow, const service_digest& service);
   std::uint32_t ChooseTarget(std::uint32_t copy, std::uint64_t flow,
                              time_point now);
+  bool IsAtColdLimit(std::uint32_t target, time_point now) const;
+  bool IsPreferred(std::uint32_t left, std::uint32_t right,
+                   time_point now) const;
   double EffectiveLoad(std::uint32_t target, time_point now) const;
   double RecentOpenings(std::uint32_t target, time_point now) const;
   forward_segment Forward(std::uint32_t target,
--- a/src/core/result_code.cc
+++ b/src/core/result_code.cc
@@ -213,6 +213,8 @@
       return "other_target_chosen";
     case result_code::kZoneEvacuated:
       return "zone_evacuated";
+    case result_code::kTargetCold:
+      return "target_cold";
     case result_code::kRosterMessageMalformed:
       return "roster_message_malformed";
     case result_code::kHeartbeatMalformed:
--- a/src/steering/segment_owner.cc
+++ b/src/steering/segment_owner.cc
@@ -8,6 +8,7 @@
 #include <cassert>
 #include <utility>
 
+#include "steering/cold_admission.h"
 #include "steering/delivery_cache.h"
 #include "steering/owned_flows.h"
 #include "steering/owner_registry.h"
@@ -74,6 +75,7 @@
       targets_(std::make_unique<target_directory>(settings.zone,
                                                   settings.max_flow_age)),
       flows_(std::make_unique<owned_flows>(settings.max_flows, now)),
+      cold_admission_(std::make_unique<cold_admission>()),
       deliveries_(std::make_unique<delivery_cache>()),
       registry_(std::make_unique<owner_registry>(settings.max_flows)),
       collector_(std::make_unique<search_collector>(kCollectedSearches)),
@@ -114,6 +116,7 @@
 
 void segment_owner::SetPlacementRules(const placement_rules& rules) {
   targets_->SetRules(rules);
+  cold_admission_->SetLimit(targets_->rules().ColdLimitOf(settings_.service));
 }
 
 void segment_owner::UpdateTarget(const roster_entry& entry, time_point now) {
@@ -214,6 +217,8 @@
       Discard(result_code::kTargetDraining, actions);
     } else if (IsEvacuated()) {
       Discard(result_code::kZoneEvacuated, actions);
+    } else if (IsAtColdLimit(now)) {
+      Discard(result_code::kTargetCold, actions);
     } else {
       Deliver(header, received, flow, now, actions);
     }
@@ -258,6 +263,12 @@
   return targets_->rules().IsEvacuated(settings_.zone);
 }
 
+// Whether the target is cold and has received as many openings in the last
+// second as the limit of its service.
+bool segment_owner::IsAtColdLimit(time_point now) const {
+  return now < status_.cold_until && !cold_admission_->HasRoom(now);
+}
+
 // Returns kOk if the target can accept an opening now, else the reason.
 result_code segment_owner::CheckAdmission(time_point now) const {
   if (now < absence_known_until_) return result_code::kNoTarget;
@@ -274,8 +285,8 @@
   std::size_t room = settings_.max_flows;
   if (status_.max_connections != 0)
     room = std::min<std::size_t>(room, status_.max_connections);
-  return flows_->open_flows() < room ? result_code::kOk
-                                     : result_code::kTargetFull;
+  if (flows_->open_flows() >= room) return result_code::kTargetFull;
+  return IsAtColdLimit(now) ? result_code::kTargetCold : result_code::kOk;
 }
 
 // ---- segments from the target ----
@@ -584,6 +595,7 @@
                             time_point now,
                             std::vector<segment_action>* actions) {
   ++counters_.delivered;
+  if (received.opens()) cold_admission_->OnDelivered(now);
   if (flow != nullptr) {
     flows_->OnDelivered(flow, received.tcp, now);
     if (received.opens() && flow->delivered_openings < UINT8_MAX)
--- a/src/steering/segment_router.cc
+++ b/src/steering/segment_router.cc
@@ -378,9 +378,7 @@
   if (copy == 0 || opening->IsPlaced()) {
     for (const target_index each : ranked_) {
       if (opening->HasChosen(each)) continue;
-      if (best == kNoTargetIndex ||
-          EffectiveLoad(each, now) < EffectiveLoad(best, now))
-        best = each;
+      if (best == kNoTargetIndex || IsPreferred(each, best, now)) best = each;
     }
   }
   if (best == kNoTargetIndex) best = ranked_[copy % ranked_.size()];
@@ -398,6 +396,23 @@
                                duration(kOpeningReportDelay).count());
 }
 
+// Whether the target is cold and was recently sent as many openings by this
+// balancer as it accepts in one second from all of them.
+bool segment_router::IsAtColdLimit(target_index target, time_point now) const {
+  const directory_target& at = targets_->At(target);
+  return at.cold_limit != 0 && at.cold_until > now &&
+         RecentOpenings(target, now) >= at.cold_limit;
+}
+
+// Whether an opening goes to `left` rather than to `right`: a target at its
+// cold limit comes after all others, else the less loaded one comes first.
+bool segment_router::IsPreferred(target_index left, target_index right,
+                                 time_point now) const {
+  const bool is_left_limited = IsAtColdLimit(left, now);
+  if (is_left_limited != IsAtColdLimit(right, now)) return !is_left_limited;
+  return EffectiveLoad(left, now) < EffectiveLoad(right, now);
+}
+
 // The load per slot by which targets are compared, including recent openings,
 // and increased for cold targets and for targets of other zones.
 double segment_router::EffectiveLoad(target_index target,
--- a/src/steering/target_directory.cc
+++ b/src/steering/target_directory.cc
@@ -5,6 +5,8 @@
 #include <cassert>
 #include <limits>
 
+#include "steering/cold_admission.h"
+
 namespace tamaracklatch {
 namespace {
 
@@ -57,7 +59,7 @@
   target.generation = record.generation;
   target.zone = record.zone;
   target.own_zone = record.zone == zone_;
-  target.evacuated = rules_.IsEvacuated(record.zone);
+  ApplyRules(&target);
   target.liveness = entry.liveness;
   target.condition = record.condition;
   target.slots = std::max<std::uint32_t>(record.slots, 1);
@@ -76,8 +78,16 @@
 void target_directory::SetRules(const placement_rules& rules) {
   if (rules.revision <= rules_.revision) return;
   rules_ = rules;
-  for (directory_target& target : targets_)
-    target.evacuated = rules_.IsEvacuated(target.zone);
+  for (directory_target& target : targets_) ApplyRules(&target);
+}
+
+void target_directory::ApplyRules(directory_target* target) const {
+  if (rules_.revision == 0) return;
+  target->evacuated = rules_.IsEvacuated(target->zone);
+  const auto listed = services_.find(target->service);
+  target->cold_limit = ColdOpeningsPerSecond(
+      listed == services_.end() ? 0.0
+                                : rules_.ColdLimitOf(listed->second.name));
 }
 
 target_index target_directory::Find(const endpoint& where) const {
--- a/src/steering/target_directory.h
+++ b/src/steering/target_directory.h
@@ -37,6 +37,8 @@
   zone_name zone;
   bool own_zone = false;   // in the zone of this node
   bool evacuated = false;  // the placement rules list `zone`
+  // The most openings that it accepts in one second while cold; 0: no limit.
+  std::uint32_t cold_limit = 0;
   node_liveness liveness = node_liveness::kAlive;
   target_condition condition = target_condition::kUnreported;
   std::uint64_t generation = 0;  // of the node record; one per daemon start
@@ -166,6 +168,8 @@
   // The index in the list of alive owners at which NextOwner begins.
   std::size_t FirstStep(const steering_header& header,
                         const endpoint& self) const;
+  // Sets what depends on the placement rules.
+  void ApplyRules(directory_target* target) const;
   void RemoveFromService(const directory_target& target, target_index index);
   // Whether the target is listed under the service of that name.
   bool IsListedUnder(const directory_target& target,
--- a/tests/steering/segment_owner_test.cc
+++ b/tests/steering/segment_owner_test.cc
@@ -1,7 +1,9 @@
 // Tests of the target daemon's decisions about segments, one rule per test.
 #include "tamaracklatch/steering/segment_owner.h"
 
+#include <cmath>
 #include <memory>
+#include <vector>
 
 #include "steering/segments.h"
 #include "support/property.h"
@@ -32,12 +34,13 @@
   int count = 0;
 };
 
-// A segment owner for target 1 of three targets of a service. By default the
-// target is ready and started while its daemon was running.
+// A segment owner for one of three targets of a service. By default the target
+// is ready and started while its daemon was running.
 struct owner_fixture {
-  explicit owner_fixture(bool saw_target_start = true, bool has_target = true) {
+  explicit owner_fixture(bool saw_target_start = true, bool has_target = true,
+                         std::uint32_t self = 1) {
     segment_owner_settings settings;
-    settings.self = DaemonAt(1);
+    settings.self = DaemonAt(self);
     settings.generation = 1;
     settings.service = "web";
     settings.zone = "a";
@@ -503,6 +506,57 @@
   }
 }
 
+// Under load from several balancers: guards against more openings at a cold
+// target than its limit in any second, with repeated copies counted, and
+// against openings lost that another target accepts.
+Test(owner, keeps_the_limit_of_a_cold_target_under_load) {
+  for (const double limit : {0.3, 2.5, 20.0}) {
+    const auto most = static_cast<std::size_t>(std::ceil(limit));
+    owner_fixture cold;
+    owner_fixture other(true, true, 2);
+    cold.status.cold_until = cold.now + seconds(20);
+    cold.SetCondition(target_condition::kReady);
+    for (owner_fixture* each : {&cold, &other})
+      each->owner->SetPlacementRules(test::ColdLimitOf(1, limit));
+    std::vector<time_point> delivered;
+    std::size_t passed = 0;
+    std::uint32_t random = 1;
+    for (std::uint16_t number = 0; number < 3000; ++number) {
+      random = random * 1664525 + 1013904223;
+      cold.now += milliseconds((random >> 16U) % 13);
+      // Every third segment repeats the one before.
+      const flow_key key = FlowOf(number - (number % 3 == 2 ? 1 : 0));
+      steering_header header = owner_fixture::Header(key);
+      header.balancer = BalancerAt(number % 5);
+      cold.Steer(header, OpeningOf(key));
+      if (cold.FindAction<deliver_segment>() != nullptr) {
+        delivered.push_back(cold.now);
+        continue;
+      }
+      const auto* next = cold.FindAction<pass_segment>();
+      if (next == nullptr) {
+        cr_assert(cold.DiscardReason() == result_code::kTargetCold);
+        continue;
+      }
+      ++passed;
+      other.now = cold.now;
+      other.Steer(next->header, next->bytes);
+      cr_assert(other.FindAction<deliver_segment>() != nullptr);
+    }
+    cr_assert(delivered.size() > most && passed > 1000);
+    cr_assert(cold.owner->counters().passed.CountOf(result_code::kTargetCold) >
+              100);
+    for (std::size_t at = most; at < delivered.size(); ++at)
+      cr_assert(delivered[at] - delivered[at - most] > seconds(1));
+    // Without the limit, and once the target is warm, all are accepted.
+    cold.owner->SetPlacementRules(test::ColdLimitOf(2, 0.0));
+    cold.Open(4000);
+    cold.owner->SetPlacementRules(test::ColdLimitOf(3, limit));
+    cold.now = cold.status.cold_until;
+    for (std::uint16_t port = 4001; port < 4100; ++port) cold.Open(port);
+  }
+}
+
 Test(owner, searches_the_owner_of_an_unknown_flow) {
   owner_fixture fixture;
   fixture.listener.wanted = event_id::kSearchStarted;
--- a/tests/steering/segment_router_test.cc
+++ b/tests/steering/segment_router_test.cc
@@ -248,6 +248,47 @@
   }
 }
 
+// Guards against a rush of openings to cold targets while others have room, and
+// against openings that are not placed where all targets are at their limit.
+Test(router, prefers_targets_below_their_cold_limit) {
+  struct row {
+    const char* name;
+    std::uint32_t cold;  // of the targets, the first ones
+    double limit;        // openings per second; 0: none
+    int most;            // openings that a cold target is sent at most
+    std::uint32_t warm_load;
+  };
+  constexpr row kRows[] = {{"limit", 3, 2.0, 3, 4096},
+                           {"no limit", 3, 0.0, 1000, 4096},
+                           {"all cold", kTargets, 2.0, 1000, 0}};
+  for (const row& each : kRows) {
+    router_fixture fixture;
+    fixture.router->SetPlacementRules(test::ColdLimitOf(1, each.limit));
+    for (std::uint32_t number = 1; number <= kTargets; ++number) {
+      roster_entry entry = TargetAt(number, "web");
+      entry.changed_at = fixture.now;
+      if (number <= each.cold) entry.record.cold_remaining = seconds(10);
+      if (number > each.cold) entry.record.load = each.warm_load;
+      fixture.Update(entry);
+    }
+    std::map<endpoint, int> count;
+    // Candidates are 3 of 6, so some openings have cold candidates only.
+    for (std::uint16_t port = 1; port <= 100; ++port) {
+      const endpoint to = To(fixture.Open(port));
+      cr_assert(to != endpoint(), "%s", each.name);
+      ++count[to];
+    }
+    int cold = 0;
+    for (std::uint32_t number = 1; number <= each.cold; ++number)
+      cold += count[DaemonAt(number)];
+    if (each.most < 1000) {
+      cr_expect(cold <= 3 * each.most + 10, "%s: %d", each.name, cold);
+    } else {
+      cr_expect(cold > 40, "%s: %d", each.name, cold);
+    }
+  }
+}
+
 Test(router, places_no_copy_of_an_opening_that_it_refused) {
   router_fixture fixture;
   const steering_decision refused = fixture.Send(test::OpeningOf(FlowOf(1, 7)));
--- a/tests/steering/segments.h
+++ b/tests/steering/segments.h
@@ -99,6 +99,13 @@
   return rules;
 }
 
+inline placement_rules ColdLimitOf(std::uint64_t revision, double limit) {
+  placement_rules rules;
+  rules.revision = revision;
+  if (limit > 0.0) rules.cold_limits = {{"web", limit}};
+  return rules;
+}
+
 // A document set with one route.
 inline document_set SetOf(std::uint64_t version,
                           std::vector<service_share> shares) {
