Add orders to evacuate a zone to the replicated log

Operators need an order that no new openings go to a zone, with an acknowledgment once a quorum holds it.

A new command (kind 4) changes the placement rules of control_state;

--- a/include/tamaracklatch/control/control_command.h
+++ b/include/tamaracklatch/control/control_command.h
@@ -1,6 +1,7 @@
 // The commands in the replicated log of the control VMs, and their encoding.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -8,6 +9,7 @@
 #include <variant>
 
 #include "tamaracklatch/control/known_nodes.h"
+#include "tamaracklatch/core/ids.h"
 #include "tamaracklatch/membership/announcement.h"
 
 namespace tamaracklatch {
@@ -26,8 +28,21 @@
   std::uint64_t version = 0;  // of the set
 };
 
-using control_body = std::variant<submit_document, membership_batch,
-                                  replace_document_set, known_nodes_batch>;
+// Maximum length of a zone's name in an order, in bytes.
+inline constexpr std::size_t kMaxOrderedZoneBytes = 128;
+
+// An operator orders that a zone gets no new openings, or withdraws that order.
+// An entry whose zone is empty or longer than kMaxOrderedZoneBytes is
+// malformed.
+struct set_zone_evacuation {
+  zone_name zone;
+  bool evacuated = false;
+  std::string submitter;  // the token's holder
+};
+
+using control_body =
+    std::variant<submit_document, membership_batch, replace_document_set,
+                 known_nodes_batch, set_zone_evacuation>;
 
 // One log entry.
 struct control_command {
--- a/include/tamaracklatch/control/control_state.h
+++ b/include/tamaracklatch/control/control_state.h
@@ -1,5 +1,6 @@
 // The replicated state machine of the control VMs: the accepted documents and
-// document set, the targets that are members and the names of the known nodes.
+// document set, the targets that are members, the names of the known nodes and
+// the placement rules.
 // The same entries in the same order give the same state, snapshot bytes and
 // outcomes on every VM.
 //
@@ -20,6 +21,7 @@
 
 #include "tamaracklatch/control/cluster_view.h"
 #include "tamaracklatch/control/control_command.h"
+#include "tamaracklatch/control/placement_rules.h"
 #include "tamaracklatch/core/result_code.h"
 
 namespace tamaracklatch {
@@ -60,6 +62,9 @@
   // put it there. A set at or below the held version is not an error.
   std::optional<std::uint64_t> set_version;
   bool set_accepted = false;
+  // After an order to evacuate a zone or to end its evacuation: the revision of
+  // the rules that contain it. An order that changes nothing is not an error.
+  std::optional<std::uint64_t> rules_revision;
 };
 
 // Receives the outcome of every entry, in the order of the log.
@@ -103,6 +108,10 @@
   // The names of the nodes that are not targets.
   const known_nodes& nodes() const { return nodes_; }
 
+  // The evacuated zones and the cold limits of the held set. Their encoded size
+  // is at most kMaxEncodedRulesBytes.
+  const placement_rules& rules() const { return rules_; }
+
   // The outcome that Apply would give this document now, without applying it.
   // A resend has `accepted` set already; an acceptable new version has kOk and
   // no `accepted`.
@@ -146,6 +155,8 @@
                revision_changes* changes);
   void Perform(const known_nodes_batch& body, command_outcome* outcome,
                revision_changes* changes);
+  void Perform(const set_zone_evacuation& body, command_outcome* outcome,
+               revision_changes* changes);
   void Join(const target_announcement& join, command_outcome* outcome,
             revision_changes* changes);
   void Update(target_id id, target_record announced, std::uint64_t generation,
@@ -195,6 +206,7 @@
   std::shared_ptr<const accepted_set> set_;        // its version only rises
   std::map<std::string, service_state> services_;  // by name
   known_nodes nodes_;
+  placement_rules rules_;
   std::map<target_id, target_membership> memberships_;  // one for each target
   std::vector<target_slot> slots_;                      // by target_id::index
 
--- a/include/tamaracklatch/core/event_id.h
+++ b/include/tamaracklatch/core/event_id.h
@@ -50,6 +50,9 @@
   kSetAccepted = 2110,
   kSetRefused = 2111,
   kSetApplied = 2112,
+  kZoneOrderAccepted = 2113,
+  kZoneOrderRefused = 2114,
+  kRulesApplied = 2115,
 
   // distribution: 2200 to 2299
   kRevisionApplied = 2200,
--- a/src/control/control_command.cc
+++ b/src/control/control_command.cc
@@ -15,9 +15,10 @@
   kMembership = 1,
   kReplaceSet = 2,
   kKnownNodes = 3,
+  kZoneEvacuation = 4,
 };
 
-constexpr std::uint64_t kLastCommandKind = 3;
+constexpr std::uint64_t kLastCommandKind = 4;
 // Larger entries are malformed. The log accepts only smaller commands, up to
 // kMaxCommandBytes in consensus_message.h.
 constexpr std::size_t kMaxDecodedBytes = 16 * 1024 * 1024;
@@ -59,6 +60,14 @@
     Write(writer_, body);
   }
 
+  void operator()(const set_zone_evacuation& body) const {
+    writer_->Number(static_cast<std::uint64_t>(command_kind::kZoneEvacuation));
+    writer_->Array(3);
+    writer_->Text(body.zone);
+    writer_->Flag(body.evacuated);
+    writer_->Text(body.submitter);
+  }
+
  private:
   wire_writer* writer_;
 };
@@ -105,6 +114,16 @@
   return body;
 }
 
+set_zone_evacuation ReadZoneEvacuation(wire_reader* reader) {
+  set_zone_evacuation body;
+  reader->Array();
+  body.zone = reader->Text();
+  body.evacuated = reader->Flag();
+  body.submitter = reader->Text();
+  reader->Leave();
+  return body;
+}
+
 }  // namespace
 
 std::string Encode(const control_command& command) {
@@ -136,6 +155,9 @@
     case command_kind::kKnownNodes:
       command.body = ReadKnownNodesBatch(&reader);
       break;
+    case command_kind::kZoneEvacuation:
+      command.body = ReadZoneEvacuation(&reader);
+      break;
   }
   reader.Leave();
   if (!reader.ok()) return std::nullopt;
--- a/src/control/control_state.cc
+++ b/src/control/control_state.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cassert>
 #include <functional>
+#include <limits>
 
 #include "tamaracklatch/control/document_set.h"
 #include "tamaracklatch/control/view_codec.h"
@@ -13,9 +14,9 @@
 namespace tamaracklatch {
 namespace {
 
-// Restore also reads format 1, which has no document set, and format 2, which
-// has no known nodes.
-constexpr std::uint64_t kSnapshotFormat = 3;
+// Restore also reads format 1, which has no document set, format 2, which has
+// no known nodes, and format 3, which has no placement rules.
+constexpr std::uint64_t kSnapshotFormat = 4;
 // Targets that may be members at once; joins above it are refused.
 constexpr std::size_t kMaxTargets = 1U << 20U;
 
@@ -42,6 +43,14 @@
   outcome->detail = std::move(detail);
 }
 
+// Whether rules with these lists can be distributed under any revision. Without
+// the highest revision in the size, an order that ends an evacuation could be
+// refused because the encoded revision has grown.
+bool FitsDistribution(placement_rules rules) {
+  rules.revision = std::numeric_limits<std::uint64_t>::max();
+  return EncodePlacementRules(rules).size() <= kMaxEncodedRulesBytes;
+}
+
 // Compares what an announcement of the same start can change.
 bool HasEqualAttributes(const target_record& left, const target_record& right) {
   return left.zone == right.zone && left.packets == right.packets &&
@@ -238,6 +247,17 @@
                   "the document set is malformed or has another version");
   }
   if (!set_ || body.version > set_->version) {
+    if (set->cold_limits != rules_.cold_limits) {
+      placement_rules next = rules_;
+      next.cold_limits = set->cold_limits;
+      next.revision = changes->at.value;
+      if (!FitsDistribution(next)) {
+        return Refuse(outcome, result_code::kSetInvalid,
+                      "the cold limits and the evacuated zones together are "
+                      "too large to be distributed");
+      }
+      rules_ = std::move(next);
+    }
     set_ = std::make_shared<const accepted_set>(
         accepted_set{body.version, changes->at, body.encoded_set,
                      body.source_text, body.submitter});
@@ -253,6 +273,34 @@
   nodes_.Apply(changes->at, body);
 }
 
+// --- Evacuation of zones ---
+
+void control_state::Perform(const set_zone_evacuation& body,
+                            command_outcome* outcome,
+                            revision_changes* changes) {
+  if (body.zone.empty() || body.zone.size() > kMaxOrderedZoneBytes) {
+    return Refuse(outcome, result_code::kCommandMalformed,
+                  "the zone's name is empty or too long");
+  }
+  if (rules_.IsEvacuated(body.zone) != body.evacuated) {
+    placement_rules next = rules_;
+    auto& zones = next.evacuated_zones;
+    const auto place = std::lower_bound(zones.begin(), zones.end(), body.zone);
+    if (body.evacuated) {
+      zones.insert(place, body.zone);
+    } else {
+      zones.erase(place);
+    }
+    next.revision = changes->at.value;
+    if (!FitsDistribution(next)) {
+      return Refuse(outcome, result_code::kRulesTooLarge,
+                    "too many evacuated zones and cold limits");
+    }
+    rules_ = std::move(next);
+  }
+  outcome->rules_revision = rules_.revision;
+}
+
 // --- Membership ---
 
 void control_state::Perform(const membership_batch& body,
@@ -415,7 +463,7 @@
 
 std::string control_state::Snapshot() const {
   wire_writer writer;
-  writer.Array(8);
+  writer.Array(9);
   writer.Number(kSnapshotFormat);
   writer.Write(applied_);
   writer.Write(view_.at);
@@ -452,6 +500,7 @@
     writer.Text(set_->submitter);
   }
   nodes_.Write(&writer);
+  writer.Text(EncodePlacementRules(rules_));
   return std::string(writer.bytes());
 }
 
@@ -530,6 +579,11 @@
   }
   if (format > 1) reader.Leave();
   if (format > 2) restored.nodes_.Read(&reader);
+  if (format > 3) {
+    auto rules = DecodePlacementRules(reader.Text(), last_failure);
+    if (!rules) return fail("the placement rules are malformed");
+    restored.rules_ = std::move(*rules);
+  }
   reader.Leave();
   if (!reader.ok()) return fail("malformed bytes");
   for (const auto& [id, target] : restored.view_.targets) {
--- a/src/core/event_id.cc
+++ b/src/core/event_id.cc
@@ -109,6 +109,12 @@
       return "set_refused";
     case event_id::kSetApplied:
       return "set_applied";
+    case event_id::kZoneOrderAccepted:
+      return "zone_order_accepted";
+    case event_id::kZoneOrderRefused:
+      return "zone_order_refused";
+    case event_id::kRulesApplied:
+      return "rules_applied";
     case event_id::kOpeningPlaced:
       return "opening_placed";
     case event_id::kOpeningPassed:
--- a/src/core/result_code.cc
+++ b/src/core/result_code.cc
@@ -193,6 +193,14 @@
       return "set_superseded";
     case result_code::kSetUnknown:
       return "set_unknown";
+    case result_code::kZoneUnknown:
+      return "zone_unknown";
+    case result_code::kRulesTooLarge:
+      return "rules_too_large";
+    case result_code::kZoneOrderMalformed:
+      return "zone_order_malformed";
+    case result_code::kProcessPaused:
+      return "process_paused";
     case result_code::kRouteUnknown:
       return "route_unknown";
     case result_code::kNoTarget:
--- a/src/daemon/gate_door.h
+++ b/src/daemon/gate_door.h
@@ -24,7 +24,7 @@
 
 namespace tamaracklatch {
 
-// `Gate` is document_set_handler or submission_handler.
+// `Gate` is document_set_handler, submission_handler or zone_order_handler.
 template <typename Gate>
 class gate_door {
  public:
@@ -59,7 +59,7 @@
     Perform(gate_.OnApplied(outcome));
   }
 
-  // The state was replaced by a snapshot. For document_set_handler alone.
+  // The state was replaced by a snapshot. Not for submission_handler.
   void OnRestored() { Perform(gate_.OnRestored()); }
 
   // Answers what waits too long, and all that waits once this VM leads no more.
--- a/src/daemon/process_frame.cc
+++ b/src/daemon/process_frame.cc
@@ -20,6 +20,11 @@
 // A shorter standstill holds up no announcement long enough to be missed.
 constexpr std::chrono::milliseconds kLeastStandstill{500};
 
+// What arrived during a pause this long may be out of date: operators wait 1 s
+// for each answer. All of it is read within kAfterPause after the pause.
+constexpr std::chrono::seconds kLeastPause{1};
+constexpr std::chrono::seconds kAfterPause{1};
+
 std::uint64_t RandomNumber() {
   std::uint64_t number = 0;
   while (number == 0) randombytes_buf(&number, sizeof(number));
@@ -107,7 +112,8 @@
       random_(RandomNumber()),
       counts_(settings.name, settings.zone),
       log_timer_(loop_),
-      standstill_(kLeastStandstill) {
+      standstill_(kLeastStandstill),
+      pauses_(kLeastPause, kAfterPause) {
   // A reader of the log that ends must not end the process.
   std::signal(SIGPIPE, SIG_IGN);
   timeline_ = OpenTimeline(settings, &clock_.clock());
@@ -174,7 +180,9 @@
   const time_point now = SteadyClock();
   timer_delay_.Add(now - due);
   if (log_waits_) FlushLog();
-  const auto stood = standstill_.OnTimer(due, now, BootClock());
+  const time_point through = BootClock();
+  pauses_.OnTurn(through);
+  const auto stood = standstill_.OnTimer(due, now, through);
   if (!stood) return;
   event what;
   what.id = event_id::kProcessResumed;
@@ -249,6 +257,8 @@
   tickers_.back()->Schedule();
 }
 
+bool process_frame::HasJustPaused() { return pauses_.IsRecent(BootClock()); }
+
 time_point process_frame::Now() const { return SteadyClock(); }
 
 wall_time process_frame::WallNow() const { return WallClock(); }
--- a/src/daemon/process_frame.h
+++ b/src/daemon/process_frame.h
@@ -11,6 +11,7 @@
 #include "daemon/event_log.h"
 #include "daemon/http_server.h"
 #include "daemon/metrics.h"
+#include "daemon/pause_watch.h"
 #include "daemon/standstill_watch.h"
 #include "tamaracklatch/core/fixed_histogram.h"
 #include "tamaracklatch/core/random.h"
@@ -61,6 +62,10 @@
   // Calls `work` every `interval` for as long as the process runs.
   void Every(std::chrono::milliseconds interval, std::function<void()> work);
 
+  // Whether the process went on less than a second ago after a pause of a
+  // second or more. Needs a ticker (Every) that is much faster than that.
+  bool HasJustPaused();
+
   time_point Now() const;
   wall_time WallNow() const;
 
@@ -100,6 +105,7 @@
   std::function<void()> on_reload_;
   std::vector<std::function<void()>> on_scrape_;
   standstill_watch standstill_;
+  pause_watch pauses_;
   span_histogram timer_delay_;
   bool stopping_ = false;
 };
--- a/src/daemon/roster_agent.cc
+++ b/src/daemon/roster_agent.cc
@@ -57,7 +57,12 @@
   Schedule();
 }
 
-void roster_agent::OnQuorumConfirmed(std::uint64_t version, time_point asked) {
+// The hub does not distribute rules yet.
+void roster_agent::SetPlacementRules(const placement_rules& /*rules*/) {}
+
+void roster_agent::OnQuorumConfirmed(std::uint64_t version,
+                                     std::uint64_t /*rules_revision*/,
+                                     time_point asked) {
   hub_->OnQuorumConfirmed(version, asked);
 }
 
--- a/src/daemon/roster_agent.h
+++ b/src/daemon/roster_agent.h
@@ -57,7 +57,9 @@
 
   // At a control VM.
   void SetDocuments(std::uint64_t version, std::string bytes);
-  void OnQuorumConfirmed(std::uint64_t version, time_point asked);
+  void SetPlacementRules(const placement_rules& rules);
+  void OnQuorumConfirmed(std::uint64_t version, std::uint64_t rules_revision,
+                         time_point asked);
 
  private:
   void OnDatagram(const endpoint& from, std::string_view bytes);
--- a/src/daemon/steering_control.cc
+++ b/src/daemon/steering_control.cc
@@ -1,8 +1,9 @@
-// Wiring of the log, the roster's hub and the operators' door.
+// Wiring of the log, the roster's hub and the operators' doors.
 #include "daemon/steering_control.h"
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <utility>
 
@@ -56,8 +57,10 @@
       state_(this),
       consensus_(&frame_, &hub_, ConsensusSettings(settings), this),
       roster_(&frame_, {settings.seeds}, OwnRecord(settings, frame_), this, {}),
-      door_(document_set_handler({}, &state_, frame_.random()())) {
+      door_(document_set_handler({}, &state_, frame_.random()())),
+      zone_door_(zone_order_handler({}, frame_.random()())) {
   door_.SetLog(&consensus_);
+  zone_door_.SetLog(&consensus_);
   roster_.AddHub({});
 }
 
@@ -77,6 +80,12 @@
     frame_.counts().Set("tamaracklatch_set_version",
                         "Version of the document set in force here.",
                         static_cast<double>(published_));
+    frame_.counts().Set(
+        "tamaracklatch_evacuated_zones", "Zones that get no new openings.",
+        static_cast<double>(state_.rules().evacuated_zones.size()));
+    frame_.counts().Set("tamaracklatch_rules_revision",
+                        "Revision of the placement rules applied here.",
+                        static_cast<double>(state_.rules().revision));
   });
   frame_.Every(kConfirmInterval, [this] { ConfirmSet(); });
   frame_.Run([this] { frame_.Stop(); });
@@ -120,6 +129,57 @@
   frame_.events().OnEvent(what);
 }
 
+void steering_control::OrderZone(const set_zone_evacuation& order,
+                                 const zone_order_reply& reply) {
+  const std::string what = fmt::format(
+      "{} {}", order.zone, order.evacuated ? "evacuated" : "not evacuated");
+  if (frame_.HasJustPaused()) {
+    // The operator may have stopped waiting for an order that arrived during
+    // the pause, and may have sent the opposite order to another VM since.
+    zone_order_answer refused;
+    refused.code = result_code::kProcessPaused;
+    refused.reason = "the process was paused; send the order again";
+    TellZoneOrder(event_id::kZoneOrderRefused, refused.code,
+                  what + ": " + refused.reason);
+    return reply(refused);
+  }
+  const std::uint64_t request = zone_door_.NextRequest();
+  zone_door_.Await<zone_order_answer>(
+      request,
+      [this, what, reply](const zone_order_answer& answer) {
+        if (answer.code == result_code::kOk) {
+          TellZoneOrder(event_id::kZoneOrderAccepted, answer.code, what);
+        } else {
+          TellZoneOrder(event_id::kZoneOrderRefused, answer.code,
+                        what + ": " + answer.reason);
+        }
+        reply(answer);
+      },
+      zone_door_.gate().Order(request, order, Standing(), frame_.Now()));
+}
+
+void steering_control::TellZoneOrderRefused(const failure& why) {
+  TellZoneOrder(event_id::kZoneOrderRefused, why.code, why.reason);
+}
+
+void steering_control::TellZoneOrder(event_id id, result_code code,
+                                     std::string detail) {
+  event what;
+  what.id = id;
+  what.code = code;
+  what.detail = std::move(detail);
+  frame_.events().OnEvent(what);
+}
+
+bool steering_control::IsKnownZone(const zone_name& zone) const {
+  const auto& entries = roster_.member().entries();
+  return zone == settings_.process.zone || settings_.zones.count(zone) != 0 ||
+         state_.rules().IsEvacuated(zone) ||
+         std::any_of(entries.begin(), entries.end(), [&](const auto& each) {
+           return each.second.record.zone == zone;
+         });
+}
+
 std::optional<endpoint> steering_control::OperatorsOf(
     const vm_name& name) const {
   const auto where = ParseEndpoint(name, nullptr);
@@ -145,15 +205,38 @@
 bool steering_control::Restore(std::string_view snapshot,
                                failure* last_failure) {
   if (!state_.Restore(snapshot, last_failure)) return false;
+  PublishRules();
   PublishSet();
   door_.OnRestored();
+  zone_door_.OnRestored();
   return true;
 }
 
 void steering_control::OnApplied(const command_outcome& outcome,
                                  const revision_changes&) {
+  PublishRules();
   PublishSet();
   door_.OnApplied(outcome);
+  zone_door_.OnApplied(outcome);
+}
+
+// Runs before PublishSet: a node must not use a set with older rules than those
+// that were in force when the set was accepted.
+void steering_control::PublishRules() {
+  const placement_rules& rules = state_.rules();
+  if (rules.revision <= published_rules_) return;
+  published_rules_ = rules.revision;
+  roster_.SetPlacementRules(rules);
+  event what;
+  what.id = event_id::kRulesApplied;
+  what.detail = fmt::format("revision {}, {} evacuated zones, {} cold limits",
+                            rules.revision, rules.evacuated_zones.size(),
+                            rules.cold_limits.size());
+  for (const zone_name& zone : rules.evacuated_zones) {
+    what.detail += what.detail.find(':') == std::string::npos ? ": " : ", ";
+    what.detail += zone;
+  }
+  frame_.events().OnEvent(what);
 }
 
 void steering_control::PublishSet() {
@@ -171,7 +254,8 @@
 void steering_control::ConfirmSet() {
   const time_point asked = frame_.Now();
   consensus_.Read([this, asked](result_code code, revision) {
-    if (code == result_code::kOk) roster_.OnQuorumConfirmed(published_, asked);
+    if (code == result_code::kOk)
+      roster_.OnQuorumConfirmed(published_, published_rules_, asked);
   });
 }
 
@@ -189,6 +273,7 @@
 void steering_control::Tick() {
   const bool leads = consensus_.node().role() == consensus_role::kLeader;
   door_.Tick(leads, frame_.Now());
+  zone_door_.Tick(leads, frame_.Now());
 }
 
 }  // namespace tamaracklatch
--- a/src/daemon/steering_control.h
+++ b/src/daemon/steering_control.h
@@ -1,9 +1,11 @@
 // The control VM of an installation whose desired state is one document set: a
 // voter of the replicated log that heals its own group, a hub of the roster,
-// and the operators' door for sets. The calls come from an adapter.
+// and the operators' doors for sets and for the evacuation of zones. The calls
+// come from an adapter.
 #pragma once
 
 #include <functional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -13,6 +15,7 @@
 #include "daemon/roster_agent.h"
 #include "tamaracklatch/control/control_state.h"
 #include "tamaracklatch/control/document_set_handler.h"
+#include "tamaracklatch/control/zone_order_handler.h"
 #include "transport/link_hub.h"
 
 namespace tamaracklatch {
@@ -26,10 +29,12 @@
   std::uint32_t tolerated_losses = 1;  // of control VMs at once
   duration heartbeat_interval = std::chrono::milliseconds(75);  // of the leader
   duration election_timeout = std::chrono::milliseconds(300);
+  std::set<zone_name> zones;  // known besides those of the roster; may be empty
 };
 
 // An operator's answer, as the adapter writes it.
 using set_answer_handler = std::function<void(const set_answer&)>;
+using zone_order_reply = std::function<void(const zone_order_answer&)>;
 using set_read_handler = std::function<void(const set_read_answer&)>;
 
 class steering_control : public roster_listener,
@@ -48,6 +53,17 @@
   // Tells of an order that the adapter refused.
   void TellRefused(const std::vector<failure>& failures);
 
+  // An operator orders the evacuation of a zone, or its end. The zone has to be
+  // known.
+  void OrderZone(const set_zone_evacuation& order,
+                 const zone_order_reply& reply);
+  // Tells of an order for a zone that the adapter refused.
+  void TellZoneOrderRefused(const failure& why);
+
+  // Whether the settings, a node of the roster or the rules in force name the
+  // zone. The rules count so that an evacuation can always be ended.
+  bool IsKnownZone(const zone_name& zone) const;
+
   // Where the operators reach the control VM of that name, if it is known.
   std::optional<endpoint> OperatorsOf(const vm_name& name) const;
 
@@ -68,6 +84,9 @@
  private:
   log_leadership Standing() const;
   void TellAnswer(const set_answer& answer);
+  void TellZoneOrder(event_id id, result_code code, std::string detail);
+  // Gives the rules to the roster if they are newer than the published ones.
+  void PublishRules();
   void PublishSet();
   void ConfirmSet();
   void Tick();
@@ -79,7 +98,9 @@
   consensus_agent consensus_;
   roster_agent roster_;
   gate_door<document_set_handler> door_;
-  std::uint64_t published_ = 0;  // version told to the roster
+  gate_door<zone_order_handler> zone_door_;
+  std::uint64_t published_ = 0;        // version told to the roster
+  std::uint64_t published_rules_ = 0;  // revision told to the roster
 };
 
 }  // namespace tamaracklatch
