Carry cold limits, urgency and target latency in document sets

Placement rules and the coming choice by urgency need values that only the document set has. The encoded set and the deltas get optional trailing elements: a set that uses none of them keeps its bytes, which nodes compare. The set's JSON text and the desired state read them; a value that cannot be read or is negative makes the set invalid.

It now checks the bytes of format 4 and reads formats 3, 2 and 1.

--- a/include/tamaracklatch/control/document_set.h
+++ b/include/tamaracklatch/control/document_set.h
@@ -39,15 +39,22 @@
 
   friend bool operator==(const set_route& left, const set_route& right) {
     return left.name == right.name && left.where == right.where &&
-           left.shares == right.shares;
+           left.shares == right.shares && left.urgency == right.urgency &&
+           left.target_latency == right.target_latency;
   }
 };
 
+// The highest number of set_route::urgency.
+inline constexpr std::uint8_t kMaxUrgency = 7;
+
 // The desired state. Operators write it as JSON (ParseDocumentSet), the log and
 // the nodes carry it encoded (EncodeDocumentSet).
 // Invariants, checked by CheckDocumentSet: no two routes have the same `where`;
 // each route has a share with a weight above 0; each share names one of
-// `services`; `idle_timeout` is not negative.
+// `services`; `urgency` is at most kMaxUrgency; `target_latency` and
+// `idle_timeout` are not negative; `cold_limits` is sorted by service without
+// duplicates, each limit names one of `services` and is above 0, and as
+// placement rules they take at most kMaxEncodedRulesBytes.
 struct document_set {
   std::uint64_t version = 0;
   std::vector<set_route> routes;
--- a/src/control/document_set.cc
+++ b/src/control/document_set.cc
@@ -4,6 +4,8 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 #include <map>
 
 #include "control/set_route_codec.h"
@@ -24,6 +26,7 @@
     if (set_.idle_timeout < duration::zero())
       Fail("idle_timeout", "is below 0");
     for (std::size_t i = 0; i < set_.routes.size(); ++i) CheckRoute(i);
+    CheckColdLimits();
   }
 
  private:
@@ -41,6 +44,10 @@
            fmt::format("{} is already the address of routes[{}]",
                        ToString(route.where), first->second));
     }
+    if (route.urgency > kMaxUrgency)
+      Fail(path + ".urgency", fmt::format("is above {}", kMaxUrgency));
+    if (route.target_latency < duration::zero())
+      Fail(path + ".target_latency", "is below 0");
     bool has_weight = false;
     for (std::size_t i = 0; i < route.shares.size(); ++i) {
       const service_share& share = route.shares[i];
@@ -52,6 +59,33 @@
     if (!has_weight) Fail(path + ".shares", "no share has a weight");
   }
 
+  void CheckColdLimits() {
+    const auto& limits = set_.cold_limits;
+    for (std::size_t i = 0; i < limits.size(); ++i) {
+      const std::string path = fmt::format("cold_limits[{}]", i);
+      const double limit = limits[i].openings_per_second;
+      if (!std::isfinite(limit) || limit <= 0.0)
+        Fail(path, "is not a number above 0");
+      if (service_indexes_.count(limits[i].service) == 0) {
+        Fail(path, fmt::format("\"{}\" is not one of the services",
+                               limits[i].service));
+      }
+      if (i > 0 && !(limits[i - 1].service < limits[i].service))
+        Fail(path,
+             "is not in the order of the services' names, or named twice");
+    }
+    // With the longest revision, as the control state checks it.
+    placement_rules rules;
+    rules.revision = std::numeric_limits<std::uint64_t>::max();
+    rules.cold_limits = limits;
+    const std::size_t bytes = EncodePlacementRules(rules).size();
+    if (bytes > kMaxEncodedRulesBytes) {
+      Fail("cold_limits",
+           fmt::format("{} bytes encoded, at most {} are allowed", bytes,
+                       kMaxEncodedRulesBytes));
+    }
+  }
+
   const document_set& set_;
   std::vector<failure>* failures_;
   service_indexes service_indexes_;
@@ -76,13 +110,14 @@
 std::string EncodeDocumentSet(const document_set& set) {
   const service_indexes indexes = IndexServices(set.services);
   wire_writer writer;
-  writer.Array(4);
+  writer.Array(set.cold_limits.empty() ? 4 : 5);
   writer.Number(set.version);
   writer.Write(set.idle_timeout);
   writer.Array(set.services.size());
   for (const std::string& service : set.services) writer.Text(service);
   writer.Array(set.routes.size());
   for (const set_route& route : set.routes) WriteRoute(route, indexes, &writer);
+  if (!set.cold_limits.empty()) WriteColdLimits(set.cold_limits, &writer);
   return std::string(writer.bytes());
 }
 
@@ -93,7 +128,7 @@
   limits.max_text = kMaxEncodedSetBytes;
   wire_reader reader(bytes, limits);
   document_set set;
-  reader.Array();
+  const std::size_t elements = reader.Array();
   set.version = reader.Number();
   reader.Read(&set.idle_timeout);
   const std::size_t services = reader.Array();
@@ -102,10 +137,11 @@
   reader.Leave();
   const std::size_t routes = reader.Array();
   for (std::size_t i = 0; i < routes && reader.ok(); ++i) {
-    reader.Array();
-    set.routes.push_back(ReadRoute(set.services, &reader));
+    const std::size_t route_elements = reader.Array();
+    set.routes.push_back(ReadRoute(set.services, route_elements, &reader));
   }
   reader.Leave();
+  if (elements > 4) set.cold_limits = ReadColdLimits(&reader);
   reader.Leave();
   std::vector<failure> failures;
   if (!reader.ok() || !CheckDocumentSet(set, &failures)) return std::nullopt;
--- a/src/control/document_set_text.cc
+++ b/src/control/document_set_text.cc
@@ -3,8 +3,10 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <array>
 #include <set>
+#include <utility>
 
 #include "core/checked_json.h"
 
@@ -15,6 +17,7 @@
 constexpr std::uint64_t kMaxVersion = 1ULL << 53U;
 constexpr std::uint64_t kMaxWeight = 1'000'000;  // of one share
 constexpr std::size_t kMaxNameBytes = 256;       // of a service or route
+constexpr double kMaxOpeningsPerSecond = 1e9;    // of a cold limit
 constexpr std::uint64_t kMaxTimeoutUnits = 1'000'000'000;  // of any unit
 
 struct time_unit {
@@ -68,6 +71,18 @@
   }
 }
 
+// The duration under an optional key; 0 where it is absent.
+duration ReadDuration(checked_json* reader, const char* key) {
+  const std::string text = reader->Text(key, "0s");
+  const auto value = ParseDuration(text);
+  if (!value) {
+    reader->Fail(
+        key, result_code::kDocumentOutOfRange,
+        fmt::format("\"{}\" is not a whole number with ms, s, m or h", text));
+  }
+  return value.value_or(duration::zero());
+}
+
 set_route ReadRoute(checked_json* reader, std::uint32_t index) {
   set_route route;
   // Placeholder until the address is parsed. It differs for each route, so that
@@ -94,20 +109,28 @@
     inner.Finish();
     route.shares.push_back(std::move(share));
   }
+  route.urgency = static_cast<std::uint8_t>(
+      reader->Number("urgency", 0, kMaxUrgency, route.urgency));
+  route.target_latency = ReadDuration(reader, "target_latency");
   reader->Finish();
   return route;
 }
 
-void ReadIdleTimeout(checked_json* reader, document_set* set) {
-  const std::string text = reader->Text("idle_timeout", "0s");
-  const auto timeout = ParseDuration(text);
-  if (timeout) {
-    set->idle_timeout = *timeout;
-  } else {
-    reader->Fail(
-        "idle_timeout", result_code::kDocumentOutOfRange,
-        fmt::format("\"{}\" is not a whole number with ms, s, m or h", text));
+void ReadColdLimits(checked_json* reader, document_set* set) {
+  for (checked_json& inner : reader->Objects("cold_limits", false)) {
+    cold_limit limit;
+    limit.service = inner.Text("service");
+    limit.openings_per_second =
+        inner.Real("openings_per_second", 0.0, kMaxOpeningsPerSecond);
+    inner.Finish();
+    // 0 means no limit, as an absent one does.
+    if (limit.openings_per_second > 0.0)
+      set->cold_limits.push_back(std::move(limit));
   }
+  std::sort(set->cold_limits.begin(), set->cold_limits.end(),
+            [](const cold_limit& left, const cold_limit& right) {
+              return left.service < right.service;
+            });
 }
 
 }  // namespace
@@ -131,7 +154,8 @@
   std::uint32_t index = 0;
   for (checked_json& inner : reader.Objects(kSetRoutesKey, true))
     set.routes.push_back(ReadRoute(&inner, index++));
-  ReadIdleTimeout(&reader, &set);
+  ReadColdLimits(&reader, &set);
+  set.idle_timeout = ReadDuration(&reader, "idle_timeout");
   reader.Finish();
   if (services_are_valid) CheckDocumentSet(set, failures);
   if (failures->size() != faults_before) return std::nullopt;
--- a/src/control/placement_rules.cc
+++ b/src/control/placement_rules.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "control/set_route_codec.h"
 #include "tamaracklatch/transport/wire.h"
 
 namespace tamaracklatch {
@@ -59,12 +60,7 @@
   writer.Number(rules.revision);
   writer.Array(rules.evacuated_zones.size());
   for (const zone_name& zone : rules.evacuated_zones) writer.Text(zone);
-  writer.Array(rules.cold_limits.size());
-  for (const cold_limit& limit : rules.cold_limits) {
-    writer.Array(2);
-    writer.Text(limit.service);
-    writer.Real(limit.openings_per_second);
-  }
+  WriteColdLimits(rules.cold_limits, &writer);
   return std::string(writer.bytes());
 }
 
@@ -82,16 +78,7 @@
   for (std::size_t i = 0; i < zones && reader.ok(); ++i)
     rules.evacuated_zones.push_back(reader.Text());
   reader.Leave();
-  const std::size_t limits = reader.Array();
-  for (std::size_t i = 0; i < limits && reader.ok(); ++i) {
-    reader.Array();
-    cold_limit limit;
-    limit.service = reader.Text();
-    limit.openings_per_second = reader.Real();
-    reader.Leave();
-    rules.cold_limits.push_back(std::move(limit));
-  }
-  reader.Leave();
+  rules.cold_limits = ReadColdLimits(&reader);
   reader.Leave();
   if (reader.ok() && IsValid(rules)) return rules;
   SetFailure(last_failure, result_code::kRosterMessageMalformed,
--- a/src/control/set_delta.cc
+++ b/src/control/set_delta.cc
@@ -14,8 +14,8 @@
 namespace tamaracklatch {
 namespace {
 
-// The number of elements of an array tells its kind; kRouteElements is that of
-// an added route.
+// The number of elements of an array tells its kind; an added route has
+// kRouteElements or more.
 constexpr std::size_t kRunElements = 2;      // of a run: first, count
 constexpr std::size_t kServiceElements = 1;  // of an added service
 // Bytes that an encoded route takes at least.
@@ -96,7 +96,7 @@
                                        std::string_view delta) {
   wire_reader reader(delta, DeltaLimits());
   document_set next;
-  reader.Array();
+  const std::size_t elements = reader.Array();
   next.version = reader.Number();
   reader.Read(&next.idle_timeout);
   const std::size_t services = reader.Array();
@@ -112,14 +112,18 @@
   reader.Leave();
   const std::size_t routes = reader.Array();
   for (std::size_t i = 0; i < routes && reader.ok(); ++i) {
-    if (reader.Array() == kRunElements) {
+    const std::size_t route_elements = reader.Array();
+    if (route_elements == kRunElements) {
       if (!ReadRun(base.routes, kMaxRoutes, &reader, &next.routes))
         return std::nullopt;
     } else {
-      next.routes.push_back(ReadRoute(next.services, &reader));
+      next.routes.push_back(ReadRoute(next.services, route_elements, &reader));
     }
   }
   reader.Leave();
+  // The cold limits are carried whole; a delta without them leads to a set
+  // without them.
+  if (elements > 4) next.cold_limits = ReadColdLimits(&reader);
   reader.Leave();
   if (!reader.ok()) return std::nullopt;
   return next;
@@ -143,7 +147,7 @@
 std::string EncodeSetDelta(const document_set& base, const document_set& next) {
   const service_indexes indexes = IndexServices(next.services);
   wire_writer writer;
-  writer.Array(4);
+  writer.Array(next.cold_limits.empty() ? 4 : 5);
   writer.Number(next.version);
   writer.Write(next.idle_timeout);
   const auto services = ComputeSteps(base.services, next.services);
@@ -165,6 +169,7 @@
       WriteRoute(next.routes[step.added], indexes, &writer);
     }
   }
+  if (!next.cold_limits.empty()) WriteColdLimits(next.cold_limits, &writer);
   return std::string(writer.bytes());
 }
 
--- a/src/control/set_route_codec.cc
+++ b/src/control/set_route_codec.cc
@@ -1,8 +1,9 @@
-// Writes and reads the routes of a document set.
+// Writes and reads the routes and cold limits of a document set.
 #include "control/set_route_codec.h"
 
 #include <cassert>
 #include <cstdint>
+#include <utility>
 
 namespace tamaracklatch {
 
@@ -15,7 +16,10 @@
 
 void WriteRoute(const set_route& route, const service_indexes& indexes,
                 wire_writer* writer) {
-  writer->Array(kRouteElements);
+  const set_route defaults;
+  const bool is_long = route.urgency != defaults.urgency ||
+                       route.target_latency != defaults.target_latency;
+  writer->Array(is_long ? kLongRouteElements : kRouteElements);
   writer->Text(route.name);
   writer->Write(route.where);
   writer->Array(route.shares.size());
@@ -26,10 +30,13 @@
     writer->Number(index->second);
     writer->Number(share.weight);
   }
+  if (!is_long) return;
+  writer->Number(route.urgency);
+  writer->Write(route.target_latency);
 }
 
 set_route ReadRoute(const std::vector<std::string>& services,
-                    wire_reader* reader) {
+                    std::size_t elements, wire_reader* reader) {
   set_route route;
   route.name = reader->Text();
   reader->Read(&route.where);
@@ -47,8 +54,37 @@
     if (index >= services.size()) reader->NumberUpTo(0);
   }
   reader->Leave();
+  if (elements >= kLongRouteElements) {
+    route.urgency = static_cast<std::uint8_t>(reader->NumberUpTo(kMaxUrgency));
+    reader->Read(&route.target_latency);
+  }
   reader->Leave();
   return route;
 }
 
+void WriteColdLimits(const std::vector<cold_limit>& limits,
+                     wire_writer* writer) {
+  writer->Array(limits.size());
+  for (const cold_limit& limit : limits) {
+    writer->Array(2);
+    writer->Text(limit.service);
+    writer->Real(limit.openings_per_second);
+  }
+}
+
+std::vector<cold_limit> ReadColdLimits(wire_reader* reader) {
+  std::vector<cold_limit> limits;
+  const std::size_t count = reader->Array();
+  for (std::size_t i = 0; i < count && reader->ok(); ++i) {
+    reader->Array();
+    cold_limit limit;
+    limit.service = reader->Text();
+    limit.openings_per_second = reader->Real();
+    reader->Leave();
+    limits.push_back(std::move(limit));
+  }
+  reader->Leave();
+  return limits;
+}
+
 }  // namespace tamaracklatch
--- a/src/timeline/log_merge.cc
+++ b/src/timeline/log_merge.cc
@@ -45,7 +45,7 @@
   return IsOfFlow(id) ||
          IsBetween(id, event_id::kProcessStarted, event_id::kProcessResumed) ||
          IsBetween(id, event_id::kLeaderElected, event_id::kVotingStopped) ||
-         IsBetween(id, event_id::kSetAccepted, event_id::kSetApplied) ||
+         IsBetween(id, event_id::kSetAccepted, event_id::kRulesApplied) ||
          IsBetween(id, event_id::kNodeJoined, event_id::kViewConfirmed);
 }
 
--- a/tests/control/document_set_test.cc
+++ b/tests/control/document_set_test.cc
@@ -40,6 +40,16 @@
   std::size_t faults = 1;  // number of faults reported
 };
 
+// Limits of five services whose names have 256 bytes each.
+std::string LongLimits() {
+  std::string limits;
+  for (const char letter : {'a', 'b', 'c', 'd', 'e'}) {
+    limits += fmt::format(R"({}{{"service":"{}","openings_per_second":1}})",
+                          limits.empty() ? "" : ",", std::string(256, letter));
+  }
+  return R"(,"cold_limits":[)" + limits + "]";
+}
+
 std::vector<fault_row> FaultRows() {
   const std::string a = R"(["a"])";
   const std::string to_a = R"({"service":"a"})";
@@ -84,6 +94,27 @@
        code::kDocumentOutOfRange, "idle_timeout"},
       {TextOf("1", a, one, R"(,"idle_timeout":15)"), code::kDocumentWrongType,
        "idle_timeout"},
+      {TextOf("1", a, one,
+              R"(,"cold_limits":[{"service":"b","openings_per_second":1}])"),
+       code::kSetInvalid, "cold_limits[0]: \"b\""},
+      {TextOf("1", a, one,
+              R"(,"cold_limits":[{"service":"a","openings_per_second":-1}])"),
+       code::kDocumentOutOfRange, "openings_per_second"},
+      {TextOf("1", a, one,
+              R"(,"cold_limits":[{"service":"a","openings_per_second":1},
+                  {"service":"a","openings_per_second":2}])"),
+       code::kSetInvalid, "named twice"},
+      {TextOf("1",
+              "[\"" + std::string(256, 'a') + "\",\"" + std::string(256, 'b') +
+                  "\",\"" + std::string(256, 'c') + "\",\"" +
+                  std::string(256, 'd') + "\",\"" + std::string(256, 'e') +
+                  "\"]",
+              "[]", LongLimits()),
+       code::kSetInvalid, "at most 1100"},
+      {TextOf("1", a,
+              R"([{"name":"r","where":"1.2.3.4:5","urgency":8,
+                  "target_latency":"-1s","shares":[{"service":"a"}]}])"),
+       code::kDocumentOutOfRange, "routes[0].urgency", 2},
       {TextOf("1", a, one, R"(,"rotues":[])"), code::kDocumentUnknownKey,
        "the nearest known key is \"routes\""},
       // Several faults in one set.
@@ -141,12 +172,16 @@
                              *rc::gen::inRange<std::uint32_t>(1, 40),
                              *rc::gen::inRange<std::uint32_t>(0, 1000));
     set.routes.front().name = *rc::gen::arbitrary<std::string>();
+    set.routes.back().urgency =
+        static_cast<std::uint8_t>(*rc::gen::inRange(0, 8));
+    if (*rc::gen::arbitrary<bool>()) set.cold_limits = {{"cards", 0.25}};
     const std::string bytes = EncodeDocumentSet(set);
     const auto read = DecodeDocumentSet(bytes);
     RC_ASSERT(read.has_value());
     RC_ASSERT(read->version == set.version && read->routes == set.routes);
     RC_ASSERT(read->services == set.services);
     RC_ASSERT(read->idle_timeout == set.idle_timeout);
+    RC_ASSERT(read->cold_limits == set.cold_limits);
     RC_ASSERT(EncodeDocumentSet(*read) == bytes);
     const auto other = DecodeDocumentSet(test::BrokenBytes(bytes));
     std::vector<failure> faults;
@@ -161,6 +196,34 @@
   });
 }
 
+// Guards against sets of older versions that can no longer be read, and against
+// changed bytes of sets that use no newer field: nodes compare them.
+Test(control, a_set_without_newer_fields_keeps_its_bytes) {
+  wire_writer writer;
+  writer.Array(4);
+  writer.Number(9);
+  writer.Write(duration(std::chrono::seconds(15)));
+  writer.Array(2);
+  writer.Text("desk");
+  writer.Text("cards");
+  writer.Array(1);
+  writer.Array(3);
+  writer.Text("route-0");
+  writer.Write(endpoint{MakeV4(0xc6120000U), 443});
+  writer.Array(2);
+  for (const std::uint64_t service : {0U, 1U}) {
+    writer.Array(2);
+    writer.Number(service);
+    writer.Number(1 - service);
+  }
+  const std::string bytes(writer.bytes());
+  const auto read = DecodeDocumentSet(bytes);
+  cr_assert(read.has_value());
+  cr_expect_eq(read->routes.front().urgency, 3);
+  cr_expect(read->cold_limits.empty());
+  cr_expect(EncodeDocumentSet(test::MakeSet(9)) == bytes);
+}
+
 Test(control, the_largest_set_fits_one_message) {
   document_set set = test::MakeSet(1, 2000);
   for (set_route& route : set.routes) route.name.resize(64, 'x');
@@ -256,16 +319,24 @@
 
 Test(control, snapshots_carry_the_set) {
   control_state state;
-  // Snapshots of older formats can still be restored. Format 2 ends before the
-  // known nodes, format 1 before the document set.
+  // Snapshots of older formats can still be restored. Format 3 ends before the
+  // placement rules, format 2 before the known nodes, format 1 before the
+  // document set.
+  const std::string no_rules("\xc4\x04\x93\x00\x90\x90", 6);
   const std::string no_nodes("\x92\x00\x90", 3);
   std::string old = state.Snapshot();
-  cr_assert(old[0] == '\x98' && old[1] == 3);
+  cr_assert(old[0] == '\x99' && old[1] == 4);
+  cr_assert(old.substr(old.size() - no_rules.size()) == no_rules);
+  old.resize(old.size() - no_rules.size());
+  control_state restored;
+  failure error;
+  old[0] = '\x98';
+  old[1] = 3;
+  cr_expect(restored.Restore(old, &error), "%s", error.reason.c_str());
+  cr_expect(restored.Snapshot() == state.Snapshot());
   cr_assert(old.substr(old.size() - no_nodes.size()) == no_nodes);
   old.resize(old.size() - no_nodes.size());
   cr_assert(old.back() == '\x90');
-  control_state restored;
-  failure error;
   old[0] = '\x97';
   old[1] = 2;
   cr_expect(restored.Restore(old, &error), "%s", error.reason.c_str());
--- a/tests/control/document_sets.h
+++ b/tests/control/document_sets.h
@@ -40,7 +40,7 @@
     std::vector<set_route>& routes = set.routes;
     const auto at = *rc::gen::inRange<std::size_t>(0, routes.size() + 1);
     const auto place = routes.begin() + static_cast<std::ptrdiff_t>(at);
-    const int kind = *rc::gen::inRange(0, 5);
+    const int kind = *rc::gen::inRange(0, 7);
     if (kind == 0) {
       const endpoint where{MakeV4(static_cast<std::uint32_t>(set.version)),
                            static_cast<std::uint16_t>(1 + edit)};
@@ -49,12 +49,17 @@
       set.services.insert(
           set.services.begin() + *rc::gen::inRange(0, 2),
           "service-" + std::to_string(set.version) + std::to_string(edit));
+    } else if (kind == 5) {
+      set.cold_limits = {{set.services.front(), 0.5 + edit}};
     } else if (place == routes.end()) {
       continue;
     } else if (kind == 2) {
       routes.erase(place);
     } else if (kind == 3) {
       place->shares.front().weight += 1;
+    } else if (kind == 6) {
+      place->urgency = static_cast<std::uint8_t>(*rc::gen::inRange(0, 8));
+      place->target_latency += std::chrono::milliseconds(edit);
     } else {
       std::rotate(routes.begin(), place, routes.end());
     }
@@ -64,6 +69,7 @@
     for (set_route& route : set.routes)
       route.shares = {{set.services.back(), 1}};
     set.services = {set.services.back()};
+    set.cold_limits.clear();
   }
   return set;
 }
--- a/tests/platform/calls_test.cc
+++ b/tests/platform/calls_test.cc
@@ -1,10 +1,12 @@
 // Tests of settings, desired states and servers' calls.
 #include <criterion/criterion.h>
 
+#include <set>
 #include <string>
 #include <vector>
 
 #include "desired_state.h"
+#include "operator_calls.h"
 #include "settings.h"
 #include "target_calls.h"
 
@@ -25,6 +27,22 @@
          "backends":[{"service":"a","weight":9},{"service":"b","weight":0}]}],
         "limits":{"idleTimeoutMs":15000}})",
      ""},
+    {R"({"version":3,"services":[{"name":"b","coldPerS":0.5},{"name":"a"},
+        {"name":"a","coldPerS":3,"coldStartS":2}],"routes":[{"name":"r",
+        "host":"10.9.0.1","pathPrefix":"/80/","service":"a","priority":9,
+        "targetLatencyMs":2.5}]})",
+     ""},
+    {R"({"version":3,"services":[{"name":"a","coldPerS":-1}],"routes":[]})",
+     "services[0].coldPerS: must be"},
+    {R"({"version":3,"services":[{"name":"a","coldPerS":"1"}],"routes":[]})",
+     "services[0].coldPerS: must be"},
+    {R"({"version":3,"services":[{"name":"a"}],"routes":[{"name":"r",
+        "host":"10.9.0.1","pathPrefix":"/80/","service":"a","priority":-1}]})",
+     "routes[0].priority: must be"},
+    {R"({"version":3,"services":[{"name":"a"}],"routes":[{"name":"r",
+        "host":"10.9.0.1","pathPrefix":"/80/","service":"a",
+        "targetLatencyMs":"soon"}]})",
+     "routes[0].targetLatencyMs: must be"},
     {R"({"version":3,"services":[],"routes":[]})", ""},
     {R"({"version":3,"services":[],"rou)", "no JSON object"},
     {R"([])", "no JSON object"},
@@ -87,6 +105,58 @@
   cr_expect(set->idle_timeout == std::chrono::seconds(15));
 }
 
+Test(desired_state, keeps_urgency_latency_and_cold_limits) {
+  std::vector<failure> failures;
+  const auto set = ReadDesiredState(kStates[2].text, &failures);
+  cr_assert(set.has_value());
+  cr_expect_eq(set->routes.front().urgency, kMaxUrgency);
+  cr_expect(set->routes.front().target_latency ==
+            std::chrono::microseconds(2500));
+  const std::vector<cold_limit> limits{{"a", 3}, {"b", 0.5}};
+  cr_expect(set->cold_limits == limits);
+}
+
+// Guards against bad orders that are proposed, and good ones that are refused.
+Test(operator_calls, reads_orders_for_known_zones_only) {
+  const std::string longest(kMaxOrderedZoneBytes, 'z');
+  struct row {
+    std::string path;
+    const char* method;
+    const char* body;
+    unsigned status;  // 0: accepted
+    const char* zone;
+  };
+  const std::vector<row> rows{
+      {"/evacuate/z-1/begin", "POST", "", 0, "z-1"},
+      {"/evacuate/z-1/finish", "POST", "", 0, "z-1"},
+      {"/evacuate/z%2d%31/begin", "POST", "", 0, "z-1"},
+      {"/evacuate/z-2/begin", "POST", "", 422, ""},
+      {"/evacuate/" + longest + "/begin", "POST", "", 422, ""},
+      {"/evacuate/" + longest + "z/begin", "POST", "", 404, ""},
+      {"/evacuate/z-1/begin", "GET", "", 405, ""},
+      {"/evacuate/z-1/begin", "POST", "{}", 400, ""},
+      {"/evacuate/z-1/stop", "POST", "", 404, ""},
+      {"/evacuate/z-1/begin/", "POST", "", 404, ""},
+      {"/evacuate//begin", "POST", "", 404, ""},
+      {"/evacuate/z-1", "POST", "", 404, ""},
+      {"/evacuate/", "POST", "", 404, ""},
+      {"/evacuate/%zz/begin", "POST", "", 404, ""},
+      {"/evacuate/z-1%3/begin", "POST", "", 404, ""},
+  };
+  for (const row& each : rows) {
+    cr_expect(IsZoneOrderPath(each.path));
+    const zone_order_call call =
+        ReadZoneOrder({each.method, each.path, "", {}, each.body},
+                      [](const zone_name& zone) { return zone == "z-1"; });
+    cr_expect_eq(call.status, each.status, "%s", each.path.c_str());
+    cr_expect_eq(call.order.zone, each.zone);
+    cr_expect_eq(call.order.evacuated,
+                 each.status == 0 && each.path.back() == 'n');
+    cr_expect((call.refusal.code == result_code::kOk) == (each.status == 0));
+  }
+  cr_expect(!IsZoneOrderPath("/evacuate"));
+}
+
 struct beat_row {
   const char* body;
   bool is_read;
@@ -180,18 +250,21 @@
   cr_expect_eq(failures.size(), 1);
   failures.clear();
   cr_expect(!ReadPlatformSettings(
-      R"({"ip":"nowhere","bindAddrs":{"control":"x"},"new":1})", &failures));
-  cr_expect_eq(failures.size(), 3);  // ip, control, the ports
+      R"({"ip":"nowhere","bindAddrs":{"control":"x"},"new":1,"zones":[]})",
+      &failures));
+  cr_expect_eq(failures.size(), 4);  // ip, control, the ports, the zones
   failures.clear();
   const auto settings = ReadPlatformSettings(
       R"({"nodeName":"n","zone":"z","ip":"10.0.0.2","new":{"a":[]},
           "bindAddrs":{"control":"10.0.0.2:81"},"dataDir":null,
           "internalPortRange":[7000,7001],"bootstrap":true,
           "seedNodes":["10.0.0.2:81","10.0.0.3:81"],
+          "zones":{"z":"north","y":"south"},
           "faultTolerance":{"machines":2},"bounds":{"graceS":4.5}})",
       &failures);
   cr_assert(settings.has_value());
   cr_expect(settings->bootstrap);
+  cr_expect(settings->zones == std::set<std::string>({"y", "z"}));
   cr_expect_eq(settings->tolerated_machines, 2);
   cr_expect(settings->grace == std::chrono::milliseconds(4500));
   const std::vector<endpoint> seeds{*ParseEndpoint("10.0.0.2:7000", nullptr),
