--- a/src/daemon/pause_watch.h
+++ b/src/daemon/pause_watch.h
@@ -17,18 +17,12 @@
       : least_(least), recent_(recent) {}
 
   // Called whenever the process does something.
-  void OnTurn(time_point now) {
-    if (last_turn_ && now - *last_turn_ >= least_) resumed_ = now;
-    last_turn_ = now;
-  }
+  void OnTurn(time_point now);
 
   // Whether a pause ended a short while ago. Also finds a pause that ended just
   // now, before any OnTurn: after a pause, what arrived during it may be read
   // before the timers fire.
-  bool IsRecent(time_point now) {
-    OnTurn(now);
-    return resumed_ && now - *resumed_ < recent_;
-  }
+  bool IsRecent(time_point now);
 
  private:
   duration least_;
