Test orders for a zone on random schedules over changes of leader

The table tests do not cover entries that a new leader has only in part. The last order that was sent and acknowledged has to be in force on every VM, and each request has to get one answer.

--- a/tests/control/zone_order_test.cc
+++ b/tests/control/zone_order_test.cc
@@ -148,6 +148,62 @@
   cr_expect(desk.Answered(result_code::kTooManyWaiting) == requests({8}));
 }
 
+// Guards against an acknowledged order that an earlier one overrides, and
+// against requests with no answer or two, over changes of the leader that lose
+// some of the entries that are not committed.
+Test(control, the_last_acknowledged_order_is_in_force) {
+  test::CheckProperty("orders that race over changes of leader", []() {
+    std::vector<order_desk> vms(3);
+    std::vector<std::string> committed;
+    std::size_t leader = 0;
+    std::uint64_t sent = 0;
+    const auto commit = [&](std::size_t count) {
+      auto& log = vms[leader].log;
+      for (; count > 0 && !log.empty(); --count) {
+        committed.push_back(log.front());
+        log.erase(log.begin());
+      }
+    };
+    const auto apply = [&](order_desk* vm, std::size_t count) {
+      for (; count > 0 && vm->entries < committed.size(); --count) {
+        const std::string command = committed[vm->entries++];
+        vm->state.Apply(revision{vm->entries}, command);
+      }
+    };
+    const int steps = *rc::gen::inRange(0, 60);
+    for (int step = 0; step < steps; ++step) {
+      const auto count = *rc::gen::inRange<std::size_t>(0, 4);
+      const int kind = *rc::gen::inRange(0, 8);
+      if (kind < 4) {
+        vms[leader].Order(++sent, "z", kind < 2);
+      } else if (kind == 4) {
+        commit(count);
+      } else if (kind < 7) {
+        apply(&vms[*rc::gen::inRange<std::size_t>(0, vms.size())], count);
+      } else {
+        commit(count);  // what the next leader has of the log
+        vms[leader].log.clear();
+        vms[leader].Perform(vms[leader].handler.OnLeadershipLost());
+        leader = *rc::gen::inRange<std::size_t>(0, vms.size());
+      }
+    }
+    const bool evacuated = *rc::gen::arbitrary<bool>();
+    vms[leader].Order(++sent, "z", evacuated);
+    commit(SIZE_MAX);
+    std::vector<int> answers(sent + 1);
+    for (order_desk& vm : vms) {
+      apply(&vm, SIZE_MAX);
+      RC_ASSERT(vm.state.rules().IsEvacuated("z") == evacuated);
+      RC_ASSERT(vm.state.Snapshot() == vms[0].state.Snapshot());
+      for (const zone_order_answer& answer : vm.answers) {
+        ++answers[answer.request];
+        if (answer.request == sent) RC_ASSERT(answer.code == result_code::kOk);
+      }
+    }
+    for (std::uint64_t i = 1; i <= sent; ++i) RC_ASSERT(answers[i] == 1);
+  });
+}
+
 // --- The control state ---
 
 // Guards against rules that no datagram can carry, and against an evacuation
