--- a/tests/steering/segment_router_test.cc
+++ b/tests/steering/segment_router_test.cc
@@ -205,12 +205,12 @@
     node_liveness others;  // of the targets in zone b
     bool placed;
   };
-  const row kRows[] = {
+  const row rows[] = {
       {"own zone", {"a"}, node_liveness::kAlive, true},
       {"others silent", {"a"}, node_liveness::kSilent, true},
       {"all zones", {"a", "b"}, node_liveness::kAlive, false},
       {"all zones, silent", {"a", "b"}, node_liveness::kSilent, false}};
-  for (const row& each : kRows) {
+  for (const row& each : rows) {
     router_fixture fixture;
     // The order comes before some entries and after others.
     for (std::uint32_t number = 1; number <= kTargets; ++number) {
