--- a/review/cluster2.py
+++ b/review/cluster2.py
@@ -61,16 +61,16 @@
         self.outputs = {}
         net = f"127.{random.randint(64, 250)}.{random.randint(1, 250)}"
         self.ips = [f"{net}.{10 + i}" for i in range(size)]
-        self.http_port, self.first_port = self.free_ports()
+        self.http_port, self.first_port = self.free_ports(self.ips)
         for i in range(size):
             self.data(i).mkdir()
 
-    def free_ports(self):
-        """Two ports that are free at all addresses of the run."""
+    def free_ports(self, ips, count=2):
+        """Ports that are free at all these addresses."""
         for _ in range(50):
-            ports = random.sample(range(20000, 32000), 2)
+            ports = random.sample(range(20000, 32000), count)
             try:
-                for ip in self.ips:
+                for ip in ips:
                     for port in ports:
                         for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
                             with socket.socket(socket.AF_INET, kind) as probe:
@@ -224,3 +224,72 @@
         return 2
     record.say("the rule was broken" if broken else "the rule held")
     return 1 if broken else 0
+
+
+class Fleet(Core):
+    """A core, and balancers and target nodes beside it. All ports are the same on all machines."""
+
+    def __init__(self, record, size=3, tolerated=1):
+        super().__init__(record, size, tolerated)
+        self.net = self.ips[0].rsplit(".", 1)[0]
+        self.members = {}  # by name: role, address, settings of the role
+        everywhere = [f"{self.net}.{n}" for n in range(10, 100)]
+        self.datagram, self.readiness, self.outbound, self.app, self.http_port, self.first_port = \
+            self.free_ports(everywhere, 6)
+
+    def address(self, n):
+        return f"{self.net}.{n}"
+
+    def add(self, name, role, n, zone, service=""):
+        self.members[name] = (role, self.address(n), zone, service)
+        return self.address(n)
+
+    def start_member(self, name, bootstrap=False):
+        role, ip, zone, service = self.members[name]
+        balances = role == "balancer"
+        addresses = {word("datagram", "Addr"): f"{ip}:{self.datagram}", word("readiness", "Addr"): f"{ip}:{self.readiness}"}
+        if not balances:
+            addresses.update({word("outb", "ound"): f"{ip}:{self.outbound}", "control": f"{ip}:{self.http_port}"})
+        settings = {
+            "nodeName": name, "role": role, word("machine", "Class"): word("front", "end") if balances else "side",
+            "serves": [word("front", "end") if balances else "side"], "ip": ip, "zone": zone, "region": "region-1",
+            "zones": {f"zone-{n}": "region-1" for n in range(3)}, word("bind", "Addrs"): addresses,
+            word("internal", "Range"): [self.first_port, self.first_port + 15],
+            word("seedN", "odes"): [f"{each}:{self.http_port}" for each in self.ips[:3]], "bootstrap": bootstrap,
+            word("countAs", "Failure"): False, "dataDir": None, "discovery": "local", "entry": "announce",
+            word("heartbeatI", "Ms"): 770, "policies": ["base", "drain", "config", "cost", "recover", "flows"],
+            word("fault", "Tolerance"): {"machines": self.tolerated, "zones": 0, "regions": 0},
+            "bounds": {word("config", "PropagationMs"): 3000, word("grace", "S"): 6, word("maxF", "S"): 60},
+            word("hash", "Function"): "mod", word("deployment", "Mode"): "agent",
+        }
+        if not balances:
+            settings.update({"service": service, "app": f"{ip}:{self.app}"})
+        path = self.folder / f"settings-{name}.json"
+        path.write_text(json.dumps(settings))
+        output = open(self.folder / f"output-{name}.txt", "a")
+        environment = {"PATH": os.environ.get("PATH", ""), word("TAMARACK", "CONFIG"): str(path)}
+        self.running[name] = subprocess.Popen([str(NODE), role], cwd=ROOT, env=environment, stdout=output, stderr=output)
+        output.close()
+        self.record.say(f"{name} started")
+
+    def name(self, i):
+        return i if isinstance(i, str) else f"core-{i}"
+
+    def ready(self, name):
+        ip = self.members[name][1]
+        connection = http.client.HTTPConnection(ip, self.readiness, timeout=0.5)
+        try:
+            connection.request("GET", "/ready")
+            return connection.getresponse().status == 200
+        except (OSError, http.client.HTTPException):
+            return False
+        finally:
+            connection.close()
+
+    def wait_ready(self, names, seconds=20):
+        end = time.monotonic() + seconds
+        while not all(self.ready(name) for name in names):
+            if time.monotonic() > end:
+                raise CannotRun(f"not ready: {[name for name in names if not self.ready(name)]}")
+            time.sleep(0.1)
+        self.record.say(f"ready: {', '.join(names)}")
