Show openings at an evacuated zone's server: case 9

A target node that has heard no hub since its start takes openings, as if no zone were evacuated. It is kept from them by others only, and where no other target accepts, the first copy of an opening visits it to be refused.

--- a/review/cluster2.py
+++ b/review/cluster2.py
@@ -233,6 +233,7 @@
         super().__init__(record, size, tolerated)
         self.net = self.ips[0].rsplit(".", 1)[0]
         self.members = {}  # by name: role, address, settings of the role
+        self.seeds = {}    # by name: addresses of its seeds, where they are not the core's
         everywhere = [f"{self.net}.{n}" for n in range(10, 100)]
         self.datagram, self.readiness, self.outbound, self.app, self.http_port, self.first_port = \
             self.free_ports(everywhere, 6)
@@ -255,8 +256,8 @@
             "serves": [word("front", "end") if balances else "side"], "ip": ip, "zone": zone, "region": "region-1",
             "zones": {f"zone-{n}": "region-1" for n in range(3)}, word("bind", "Addrs"): addresses,
             word("internal", "Range"): [self.first_port, self.first_port + 15],
-            word("seedN", "odes"): [f"{each}:{self.http_port}" for each in self.ips[:3]], "bootstrap": bootstrap,
-            word("countAs", "Failure"): False, "dataDir": None, "discovery": "local", "entry": "announce",
+            word("seedN", "odes"): [f"{each}:{self.http_port}" for each in self.seeds.get(name, self.ips[:3])],
+            "bootstrap": bootstrap, word("countAs", "Failure"): False, "dataDir": None, "discovery": "local", "entry": "announce",
             word("heartbeatI", "Ms"): 770, "policies": ["base", "drain", "config", "cost", "recover", "flows"],
             word("fault", "Tolerance"): {"machines": self.tolerated, "zones": 0, "regions": 0},
             "bounds": {word("config", "PropagationMs"): 3000, word("grace", "S"): 6, word("maxF", "S"): 60},
@@ -275,6 +276,12 @@
     def name(self, i):
         return i if isinstance(i, str) else f"core-{i}"
 
+    def evacuate(self, zone, begins, seconds=10.0):
+        """Orders the evacuation of a zone or its end; whether it was acknowledged."""
+        what = "begin" if begins else "finish"
+        answer = self.ask("POST", f"{word('/evac', '/')}{zone}/{what}", None, seconds, 0, f"orders: {what} {zone}")
+        return answer is not None and answer[0] == 200
+
     def ready(self, name):
         ip = self.members[name][1]
         connection = http.client.HTTPConnection(ip, self.readiness, timeout=0.5)
