--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,3 +1,9 @@
 #!/bin/sh
 # Exit code 1: the rule was broken, 0: it held, 2: the case could not run. TROUBLE=0: without the disruption.
-cd "$(dirname "$0")" && exec python3 run.py
+cd "$(dirname "$0")" || exit 2
+python3 run.py
+case $? in
+  0) exit 0 ;;
+  10) exit 1 ;;
+  *) exit 2 ;;
+esac
--- a/review/cluster2.py
+++ b/review/cluster2.py
@@ -12,6 +12,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -213,8 +214,12 @@
 
 
 def run_case(folder, body):
-    """Runs body(record, trouble); exit code 1 where it returns that the rule was broken, 0 where not, 2 for neither."""
+    """Runs body(record, trouble); returns 10 where that says that the rule was broken, 0 where not, 2 where it did not run.
+
+    10 and not 1, so that run.sh tells it from an exception that nobody expected.
+    """
     record = Record(pathlib.Path(folder) / "record.txt")
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # so that the processes are ended then, too
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.say(f"with{'' if trouble else 'out'} the disruption")
     try:
@@ -223,7 +228,7 @@
         record.say(f"the case could not run: {why}")
         return 2
     record.say("the rule was broken" if broken else "the rule held")
-    return 1 if broken else 0
+    return 10 if broken else 0
 
 
 class Fleet(Core):
