Load a log that begins with replaced entries

What callers saw: a control process never started again after planned work (log_broken (400): frame 98: entry 96 does not follow entry 97).

Cause: a start replays the frames of the segments that are left. Where the first segments are removed, the first frame left may hold an entry that a later frame replaced together with entries before it, whose first version was in a removed segment. The replay took the lower index for damage.

Ruled out: removal goes by the highest index in a segment and takes nothing that is needed, and the torn tail is not involved. A rule by terms would be wrong, since a new leader may replace entries by those of an earlier term.

Change: until a reset, a log whose first frame was removed may be replaced from any index on. All other checks stay. The writing side is unchanged, so folders of earlier builds in this state load.

Looked at besides: the in-memory log, the change log of relays, deltas of sets, timeline files. None replays after its beginning was removed.

--- a/include/tamaracklatch/consensus/file_log_storage.h
+++ b/include/tamaracklatch/consensus/file_log_storage.h
@@ -58,6 +58,8 @@
     std::uint64_t bytes = 0;           // of its intact frames
   };
 
+  struct replayed_log;
+
   std::string PathOf(const std::string& name) const;
   // Creates the folder if it is missing, and locks it.
   bool LockFolder(failure* last_failure);
@@ -65,8 +67,8 @@
   bool LoadSnapshot(stored_state* state, failure* last_failure);
   bool LoadSegments(stored_state* state, failure* last_failure);
   // `last`: it is the newest segment, whose tail may be torn.
-  bool LoadSegment(std::uint64_t first_sequence, bool last, stored_state* state,
-                   failure* last_failure);
+  bool LoadSegment(std::uint64_t first_sequence, bool last, replayed_log* log,
+                   stored_state* state, failure* last_failure);
   bool RemoveTemporaryFiles(failure* last_failure);
   bool TruncateTail(const std::string& path, std::uint64_t intact_bytes,
                     failure* last_failure);
--- a/src/consensus/file_log_storage.cc
+++ b/src/consensus/file_log_storage.cc
@@ -218,31 +218,45 @@
   return false;
 }
 
-// Applies a frame to the entries of the frames before it: an entry replaces the
-// one of its index and removes all after it. Fails if an index leaves a gap or
-// precedes the first entry.
-bool ReplayFrame(log_frame frame, std::vector<log_entry>* entries,
-                 failure* last_failure) {
-  if (frame.reset) entries->clear();
+}  // namespace
+
+// The entries of the frames read so far.
+struct file_log_storage::replayed_log {
+  std::vector<log_entry> entries;
+  // Whether earlier frames were in a segment that was removed, and no reset
+  // came since. Then `entries` may begin with a replaced entry, whose
+  // replacement may begin at a lower index.
+  bool begins_after_removed = false;
+
+  // Applies the next frame: an entry replaces the one of its index and removes
+  // all after it. Fails if an index leaves a gap or precedes the beginning.
+  bool Apply(log_frame frame, failure* last_failure);
+};
+
+bool file_log_storage::replayed_log::Apply(log_frame frame,
+                                           failure* last_failure) {
+  if (frame.reset) {
+    entries.clear();
+    begins_after_removed = false;
+  }
   for (log_entry& entry : frame.entries) {
-    if (!entries->empty()) {
-      const std::uint64_t first = entries->front().index.value;
-      const std::uint64_t next = first + entries->size();
-      if (entry.index.value < first || entry.index.value > next) {
+    if (!entries.empty()) {
+      const std::uint64_t first = entries.front().index.value;
+      const std::uint64_t next = first + entries.size();
+      const std::uint64_t lowest = begins_after_removed ? 1 : first;
+      if (entry.index.value < lowest || entry.index.value > next) {
         return FailCorrupt(
             last_failure,
             fmt::format("frame {}: entry {} does not follow entry {}",
                         frame.sequence, entry.index.value, next - 1));
       }
-      entries->resize(entry.index.value - first);
+      entries.resize(std::max(entry.index.value, first) - first);
     }
-    entries->push_back(std::move(entry));
+    entries.push_back(std::move(entry));
   }
   return true;
 }
 
-}  // namespace
-
 file_log_storage::file_log_storage(file_log_settings settings)
     : settings_(std::move(settings)) {
   assert(!settings_.folder.empty() && settings_.segment_bytes > 0);
@@ -352,20 +366,25 @@
         last_failure,
         PathOf(NumberedName(kSegmentPrefix, newest_segment_)) + " is missing");
   }
-  if (!sequences.empty()) next_sequence_ = sequences.front();
+  replayed_log log;
+  if (!sequences.empty()) {
+    next_sequence_ = sequences.front();
+    log.begins_after_removed = next_sequence_ > 1;
+  }
   for (const std::uint64_t sequence : sequences) {
     if (sequence != next_sequence_) {
       return FailCorrupt(
           last_failure,
           PathOf(NumberedName(kSegmentPrefix, next_sequence_)) + " is missing");
     }
-    if (!LoadSegment(sequence, sequence == last, state, last_failure)) {
+    if (!LoadSegment(sequence, sequence == last, &log, state, last_failure)) {
       return false;
     }
   }
   // No entry may be missing between the snapshot and the log.
   const std::uint64_t expected_first =
       state->snapshot ? state->snapshot->index.value + 1 : 1;
+  state->entries = std::move(log.entries);
   const auto& entries = state->entries;
   if (!entries.empty() && entries.front().index.value > expected_first) {
     return FailCorrupt(
@@ -388,7 +407,8 @@
 }
 
 bool file_log_storage::LoadSegment(std::uint64_t first_sequence, bool last,
-                                   stored_state* state, failure* last_failure) {
+                                   replayed_log* log, stored_state* state,
+                                   failure* last_failure) {
   const std::string path = PathOf(NumberedName(kSegmentPrefix, first_sequence));
   std::string bytes;
   if (!ReadAll(path, &bytes)) {
@@ -419,9 +439,7 @@
     for (const log_entry& entry : result.frame.entries) {
       loaded.highest_index = std::max(loaded.highest_index, entry.index);
     }
-    if (!ReplayFrame(std::move(result.frame), &state->entries, last_failure)) {
-      return false;
-    }
+    if (!log->Apply(std::move(result.frame), last_failure)) return false;
     offset += result.bytes;
     ++next_sequence_;
   }
--- a/tests/consensus/file_log_storage_test.cc
+++ b/tests/consensus/file_log_storage_test.cc
@@ -170,6 +170,40 @@
   cr_assert_eq(state->entries.back().index.value, 40u);
 }
 
+// The first segment that is left begins with entries that a later frame
+// replaced from an earlier index on, whose first version was in a removed
+// segment. This stopped every further start with kLogBroken.
+Test(file_log_storage, loads_a_log_that_begins_with_replaced_entries) {
+  const temporary_folder folder;
+  WriteLog(folder.data(), 10, kSmallSegmentBytes);
+  failure error;
+  {
+    auto storage = Open(folder.data(), kSmallSegmentBytes);
+    cr_assert(storage->Load(&error).has_value());
+    // Two entries of a deposed leader. The first fills its segment.
+    const std::string filling(kSmallSegmentBytes, 'x');
+    const auto deposed = {CommandEntry(11, 1, filling),
+                          CommandEntry(12, 1, "deposed")};
+    for (const log_entry& entry : deposed)
+      cr_assert(storage->Persist(EntriesBatch({entry}), &error));
+    for (std::uint64_t i = 11; i <= 16; ++i) {
+      cr_assert(storage->Persist(EntriesBatch({CommandEntry(i, 2, "replaced")}),
+                                 &error));
+    }
+    storage_batch batch;
+    batch.snapshot =
+        std::make_shared<log_snapshot>(log_snapshot{{13}, {2}, {}, "state"});
+    batch.compact_before = revision{12};
+    cr_assert(storage->Persist(batch, &error), "%s", error.reason.c_str());
+  }
+  const auto state = Reopen(folder.data(), &error);
+  cr_assert(state.has_value(), "%s", error.reason.c_str());
+  cr_assert_eq(state->entries.front().index.value, 11u);
+  cr_assert_eq(state->entries.back().index.value, 16u);
+  for (const log_entry& entry : state->entries)
+    cr_assert_eq(entry.term.value, 2u);
+}
+
 Test(file_log_storage, an_installed_snapshot_starts_the_log_again) {
   const temporary_folder folder;
   WriteLog(folder.data(), 10);
@@ -390,8 +424,8 @@
   cr_assert(error.code == result_code::kStorageUnreadable);
 }
 
-// After any sequence of batches and reopenings, the files hold the same entries
-// as a list in memory.
+// After any sequence of appended batches and reopenings, the files hold the
+// same entries as a list in memory.
 Test(file_log_storage, agrees_with_a_list_in_memory) {
   CheckProperty("files agree with a list", [] {
     const temporary_folder folder;
