Ask the services of sets that a balancer missed before a reset

Cause: "nobody holds this flow" rests on a visit to every target of the services in the header, and the balancer listed only services of sets that it had applied. The roster sends the newest set; nothing told the balancer that others were in between. Related, and mended here: a flow opened through another balancer under a set accepted since the last confirmation (a view counts as confirmed for 1.5 s), the same for a route that a set adds, and flows that other balancers open at a removed service until they apply the set, up to 3 s after it.

Ruled out: searching all known services always, which visits every target of an installation and leaves no reset where the header has no room; counting each change as a gap; the number of the set alone, which does not tell what was in between.

Change: hubs say after which version a transfer shows every accepted set; members report the routes of the sets in between, or that sets may be missing. Then all known services are searched, as after a start, and without room for them nothing is confirmed. Services are searched for max_flow_age and max_set_delay. A search ends in a reset only if the view was confirmed as of a time after the flow's first segment, which is held until then. A hub of an earlier release tells nothing, which counts as missing sets; earlier members skip the new element.

A check is narrowed: in schedules with unknown sets, data (no opening) may reach a target of a service that no set names. All other schedules check it as before.

Cost: up to 9 bytes a part. Where sets are unknown, searches visit all services for 63 s, and with more than four of them lost flows get silence instead of a reset. Other resets after a search come up to one confirmation (asked for each 250 ms) later.

--- a/include/tamaracklatch/roster/roster_hub.h
+++ b/include/tamaracklatch/roster/roster_hub.h
@@ -7,7 +7,7 @@
 //   for (auto& send : hub.OnMessage(from, bytes, now)) Send(send);
 //   for (auto& send : hub.OnTick(now)) Send(send);  // at next_wake()
 //   hub.SetPlacementRules(rules, now);              // applied from the log
-//   hub.SetDocuments(version, bytes, now);          // the same
+//   hub.SetDocuments(version, bytes, true, now);    // the same
 //   hub.OnQuorumConfirmed(version, rules_revision, queried_at);
 //
 // An announcement counts only if it returns a stamp that this hub issued
@@ -87,8 +87,10 @@
   void SetPlacementRules(const placement_rules& rules, time_point now);
 
   // Sets the newest document set that the log applied, as EncodeDocumentSet
-  // wrote it. Versions not above the held one are ignored.
-  void SetDocuments(std::uint64_t version, std::string bytes, time_point now);
+  // wrote it. Versions not above the held one are ignored. `is_next`: the log
+  // accepted no set between the held one and this one.
+  void SetDocuments(std::uint64_t version, std::string bytes, bool is_next,
+                    time_point now);
 
   // The quorum, queried at `queried_at`, confirmed that this VM has applied all
   // sets and placement rules accepted before that time; the newest are
--- a/include/tamaracklatch/roster/roster_member.h
+++ b/include/tamaracklatch/roster/roster_member.h
@@ -28,6 +28,7 @@
 
 #include "tamaracklatch/control/document_set.h"
 #include "tamaracklatch/control/placement_rules.h"
+#include "tamaracklatch/control/set_delta.h"
 #include "tamaracklatch/core/event.h"
 #include "tamaracklatch/core/fixed_histogram.h"
 #include "tamaracklatch/roster/node_record.h"
@@ -75,6 +76,7 @@
 // placement rules than those received before.
 struct set_received {
   document_set set;
+  set_succession succession;  // from the set received before
 };
 
 // Record the event.
@@ -232,6 +234,7 @@
   const document_set& fetched_set() const {
     return withheld_set_ ? *withheld_set_ : set_;
   }
+  void Withhold(document_set set, set_succession succession);
   void ReleaseSet(time_point now, actions* out);
   void ApplyConfirmations(time_point now, actions* out);
   bool ApplyEntries(hub_link* link, const roster_update& update, time_point now,
@@ -285,6 +288,7 @@
   // A set above set_, fetched but not reported, as some responding hub has
   // newer rules than rules_.
   std::optional<document_set> withheld_set_;
+  set_succession succession_;  // from set_ to withheld_set_
   std::optional<time_point> confirmed_;
   std::unique_ptr<set_fetcher> fetcher_;
   // When the local record changed in a way that no hub has acknowledged yet;
--- a/include/tamaracklatch/steering/segment_router.h
+++ b/include/tamaracklatch/steering/segment_router.h
@@ -4,7 +4,7 @@
 // no I/O: the balancer carries out each decision.
 //
 //   segment_router router(settings);
-//   router.SetRoutes(set, now);
+//   router.SetRoutes(set, succession, now);
 //   router.UpdateTarget(entry, now);     // each roster change
 //   auto decision = router.Route(segment, now);
 //   router.OnHint(header, from, now);    // kOwner, kUnknown and kRefused
@@ -19,6 +19,7 @@
 
 #include "tamaracklatch/control/document_set.h"
 #include "tamaracklatch/control/placement_rules.h"
+#include "tamaracklatch/control/set_delta.h"
 #include "tamaracklatch/core/event.h"
 #include "tamaracklatch/roster/node_record.h"
 #include "tamaracklatch/steering/segment.h"
@@ -40,7 +41,8 @@
   // flow added to a full set evicts the least recently used flow of that set.
   std::size_t max_cached_flows = 65536;
   // The age after which target daemons may remove a flow. The targets of each
-  // service that a route had within this time are searched for owners.
+  // service that a route had within this time and max_set_delay are searched
+  // for owners.
   duration max_flow_age = std::chrono::seconds(60);
   // The time in which all balancers whose view is confirmed apply an accepted
   // document set.
@@ -76,9 +78,11 @@
   ~segment_router();
 
   // Replaces the routes by those of `set`; a set whose version is not higher is
-  // ignored. Services that a route no longer has are searched for max_flow_age
-  // more.
-  void SetRoutes(const document_set& set, time_point now);
+  // ignored. `succession` is from the set applied before. Services that a route
+  // no longer has, or had only in between, are searched for as long as flows
+  // may be open there; all known services where sets may have been skipped.
+  void SetRoutes(const document_set& set, const set_succession& succession,
+                 time_point now);
 
   // Replaces the placement rules, unless their revision is not higher. No
   // target of a zone that they list is chosen for an opening.
@@ -91,7 +95,13 @@
   // Whether the control quorum confirmed this balancer's view within the time
   // after which an accepted document set must be in force. Without it no
   // segment is refused for an unknown route and no search ends with a reset.
-  void SetViewConfirmed(bool confirmed) { view_confirmed_ = confirmed; }
+  // `as_of`: the time up to which all accepted sets are applied. A search can
+  // only end with a reset if its first segment came before: the flow may have
+  // opened under a set that was accepted since.
+  void SetViewConfirmed(bool confirmed, time_point as_of) {
+    view_confirmed_ = confirmed;
+    view_confirmed_as_of_ = as_of;
+  }
 
   // Decides about a segment from a caller. If no document set was applied yet,
   // or if a segment other than an opening starts a search that can't be
@@ -148,9 +158,10 @@
   time_point FirstCopiesUntil(const endpoint& where,
                               const service_digest& service,
                               time_point now) const;
-  void RetainPastServices(
-      const std::unordered_map<endpoint, route, address_hash>& after,
-      time_point now);
+  using route_table = std::unordered_map<endpoint, route, address_hash>;
+  void RemoveExpiredPastServices(time_point now);
+  void RetainService(const endpoint& where, const service_digest& service,
+                     const route_table& after, time_point now);
   std::size_t ChooseShare(const route& matched, std::uint64_t flow) const;
   steering_header MakeHeader(const route& matched, std::size_t share,
                              std::uint64_t flow, duration flow_age,
@@ -187,15 +198,18 @@
   std::unique_ptr<opening_cache> openings_;
   std::unique_ptr<recent_flows> reported_resets_;
   std::unique_ptr<segment_hold> hold_;
-  std::unordered_map<endpoint, route, address_hash> routes_;  // by address
+  route_table routes_;  // by address
   // By address; the service removed last is first.
   std::unordered_map<endpoint, std::vector<past_service>, address_hash>
       past_services_;
   std::vector<recent_openings> recent_openings_;  // by target_index
   std::vector<std::uint32_t> ranked_;             // buffer of Rank
   std::uint64_t set_version_ = 0;
-  time_point first_set_time_;  // when the first set was applied
+  // When the last set was applied before which sets may have been in use that
+  // this balancer does not know.
+  time_point sets_known_since_;
   bool view_confirmed_ = false;
+  time_point view_confirmed_as_of_;
   segment_router_counters counters_;
 };
 
--- a/src/control/set_delta.cc
+++ b/src/control/set_delta.cc
@@ -91,9 +91,10 @@
 }
 
 // Applies one delta. The shares of the result may still name services that it
-// lacks.
+// lacks. Appends the added and changed routes to `changed` unless it is null.
 std::optional<document_set> ApplyDelta(const document_set& base,
-                                       std::string_view delta) {
+                                       std::string_view delta,
+                                       std::vector<set_route>* changed) {
   wire_reader reader(delta, DeltaLimits());
   document_set next;
   const std::size_t elements = reader.Array();
@@ -118,6 +119,7 @@
         return std::nullopt;
     } else {
       next.routes.push_back(ReadRoute(next.services, route_elements, &reader));
+      if (changed != nullptr) changed->push_back(next.routes.back());
     }
   }
   reader.Leave();
@@ -180,8 +182,9 @@
   return std::string(writer.bytes());
 }
 
-std::optional<std::string> ApplySetDeltas(const document_set& base,
-                                          std::string_view joined) {
+std::optional<std::string> ApplySetDeltas(
+    const document_set& base, std::string_view joined,
+    std::vector<set_route>* intermediate) {
   wire_reader reader(joined, DeltaLimits());
   const std::size_t count = reader.Array();
   if (count == 0) return std::nullopt;
@@ -189,7 +192,8 @@
   for (std::size_t i = 0; i < count && reader.ok(); ++i) {
     const std::string delta = reader.Text();
     if (!reader.ok()) break;
-    set = ApplyDelta(set ? *set : base, delta);
+    set = ApplyDelta(set ? *set : base, delta,
+                     i + 1 < count ? intermediate : nullptr);
     if (!set) return std::nullopt;
   }
   reader.Leave();
--- a/src/daemon/roster_agent.cc
+++ b/src/daemon/roster_agent.cc
@@ -52,8 +52,9 @@
   Schedule();
 }
 
-void roster_agent::SetDocuments(std::uint64_t version, std::string bytes) {
-  hub_->SetDocuments(version, std::move(bytes), frame_->Now());
+void roster_agent::SetDocuments(std::uint64_t version, std::string bytes,
+                                bool is_next) {
+  hub_->SetDocuments(version, std::move(bytes), is_next, frame_->Now());
   Schedule();
 }
 
@@ -101,7 +102,7 @@
 }
 
 void roster_agent::Do(const set_received& action) {
-  listener_->OnSetReceived(action.set);
+  listener_->OnSetReceived(action);
 }
 
 void roster_agent::Do(const roster_report& action) {
--- a/src/daemon/roster_agent.h
+++ b/src/daemon/roster_agent.h
@@ -19,7 +19,7 @@
  public:
   virtual ~roster_listener() = default;
   virtual void OnRosterChanged(const roster_entry& entry) = 0;
-  virtual void OnSetReceived(const document_set& set) = 0;
+  virtual void OnSetReceived(const set_received& received) = 0;
   virtual void OnPlacementRules(const placement_rules& rules) = 0;
 };
 
@@ -56,7 +56,7 @@
   const roster_member& member() const { return member_; }
 
   // At a control VM.
-  void SetDocuments(std::uint64_t version, std::string bytes);
+  void SetDocuments(std::uint64_t version, std::string bytes, bool is_next);
   void SetPlacementRules(const placement_rules& rules);
   void OnQuorumConfirmed(std::uint64_t version, std::uint64_t rules_revision,
                          time_point asked);
--- a/src/daemon/steering_balancer.cc
+++ b/src/daemon/steering_balancer.cc
@@ -75,14 +75,20 @@
     router_.UpdateTarget(entry, frame_.Now());
 }
 
-void steering_balancer::OnSetReceived(const document_set& set) {
+void steering_balancer::OnSetReceived(const set_received& received) {
   const time_point now = frame_.Now();
-  router_.SetRoutes(set, now);
+  const document_set& set = received.set;
+  router_.SetRoutes(set, received.succession, now);
   for (const std::string& bytes : router_.TakeHeld(now)) OnSegment({}, bytes);
   event what;
   what.id = event_id::kSetApplied;
   what.detail =
       fmt::format("version {}, {} routes", set.version, set.routes.size());
+  if (!received.succession.intermediate_routes.empty()) {
+    what.detail += fmt::format(", {} routes changed in between",
+                               received.succession.intermediate_routes.size());
+  }
+  if (received.succession.may_skip_sets) what.detail += ", sets may be missing";
   frame_.events().OnEvent(what);
 }
 
@@ -166,7 +172,8 @@
 void steering_balancer::Check() {
   const time_point now = frame_.Now();
   const bool confirmed = IsViewConfirmed(now);
-  router_.SetViewConfirmed(confirmed);
+  router_.SetViewConfirmed(confirmed,
+                           roster_.member().confirmed().value_or(time_point()));
   for (const std::string& bytes : router_.TakeHeld(now)) OnSegment({}, bytes);
   if (stop_.IsDone(now)) frame_.Stop();
   if (confirmed && !stop_.HasBegun() && roster_.member().set().version != 0)
--- a/src/daemon/steering_balancer.h
+++ b/src/daemon/steering_balancer.h
@@ -46,7 +46,7 @@
   roster_agent& roster() { return roster_; }
 
   void OnRosterChanged(const roster_entry& entry) override;
-  void OnSetReceived(const document_set& set) override;
+  void OnSetReceived(const set_received& received) override;
   void OnPlacementRules(const placement_rules& rules) override;
 
  private:
--- a/src/daemon/steering_control.cc
+++ b/src/daemon/steering_control.cc
@@ -203,7 +203,7 @@
                                failure* last_failure) {
   if (!state_.Restore(snapshot, last_failure)) return false;
   PublishRules();
-  PublishSet();
+  PublishSet(false);
   door_.OnRestored();
   zone_door_.OnRestored();
   return true;
@@ -212,7 +212,7 @@
 void steering_control::OnApplied(const command_outcome& outcome,
                                  const revision_changes&) {
   PublishRules();
-  PublishSet();
+  PublishSet(true);
   door_.OnApplied(outcome);
   zone_door_.OnApplied(outcome);
 }
@@ -236,11 +236,12 @@
   frame_.events().OnEvent(what);
 }
 
-void steering_control::PublishSet() {
+// `is_next`: the set published before is the one accepted before.
+void steering_control::PublishSet(bool is_next) {
   const auto& held = state_.held_set();
   if (!held || held->version <= published_) return;
   published_ = held->version;
-  roster_.SetDocuments(held->version, held->encoded_set);
+  roster_.SetDocuments(held->version, held->encoded_set, is_next);
   event what;
   what.id = event_id::kSetApplied;
   what.detail = fmt::format("version {}", held->version);
--- a/src/daemon/steering_control.h
+++ b/src/daemon/steering_control.h
@@ -71,7 +71,7 @@
   roster_agent& roster() { return roster_; }
 
   void OnRosterChanged(const roster_entry& entry) override;
-  void OnSetReceived(const document_set&) override {}
+  void OnSetReceived(const set_received&) override {}
   void OnPlacementRules(const placement_rules&) override {}
 
   void OnApplied(const command_outcome& outcome,
@@ -87,7 +87,7 @@
   void TellZoneOrder(event_id id, result_code code, std::string detail);
   // Gives the rules to the roster if they are newer than the published ones.
   void PublishRules();
-  void PublishSet();
+  void PublishSet(bool is_next);
   void ConfirmSet();
   void Tick();
 
--- a/src/daemon/steering_target.cc
+++ b/src/daemon/steering_target.cc
@@ -159,8 +159,8 @@
     owner_.UpdateTarget(entry, frame_.Now());
 }
 
-void steering_target::OnSetReceived(const document_set& set) {
-  owner_.SetIdleTimeout(set.idle_timeout);
+void steering_target::OnSetReceived(const set_received& received) {
+  owner_.SetIdleTimeout(received.set.idle_timeout);
 }
 
 void steering_target::OnPlacementRules(const placement_rules& rules) {
--- a/src/roster/roster_hub.cc
+++ b/src/roster/roster_hub.cc
@@ -483,6 +483,7 @@
   part.offset = message->offset;
   part.bytes = std::string(content.substr(message->offset, kMaxSetPart));
   part.base = delta.empty() ? 0 : message->base;
+  part.complete_since = documents_->CompleteSince(part.base);
   out->push_back({from, Encode(part)});
 }
 
@@ -497,9 +498,9 @@
 }
 
 void roster_hub::SetDocuments(std::uint64_t version, std::string bytes,
-                              time_point now) {
+                              bool is_next, time_point now) {
   if (version <= documents_->head().version) return;
-  documents_->Add(version, std::move(bytes));
+  documents_->Add(version, std::move(bytes), is_next);
   SchedulePush(now);
 }
 
--- a/src/roster/roster_member.cc
+++ b/src/roster/roster_member.cc
@@ -688,6 +688,18 @@
   out->push_back(roster_report{reported});
 }
 
+// The set withheld until now becomes one in between.
+void roster_member::Withhold(document_set set, set_succession succession) {
+  std::vector<set_route>& routes = succession_.intermediate_routes;
+  if (withheld_set_)
+    routes.insert(routes.end(), withheld_set_->routes.begin(),
+                  withheld_set_->routes.end());
+  routes.insert(routes.end(), succession.intermediate_routes.begin(),
+                succession.intermediate_routes.end());
+  succession_.may_skip_sets |= succession.may_skip_sets;
+  withheld_set_ = std::move(set);
+}
+
 // Called after each input. Reports the withheld set once no hub that responds
 // has newer rules; hubs that were lost before they sent theirs don't count, so
 // that the set is not withheld for ever.
@@ -703,7 +715,8 @@
   withheld_set_.reset();
   if (newer_set_since_) counters_.fetch_times.Add(now - *newer_set_since_);
   newer_set_since_.reset();
-  out->push_back(set_received{set_});
+  out->push_back(set_received{set_, std::move(succession_)});
+  succession_ = set_succession();
   ApplyConfirmations(now, out);
 }
 
@@ -728,19 +741,19 @@
     return;
   }
   if (links_.find(from) == links_.end()) return;
-  std::optional<std::string> complete;
+  std::optional<fetched_bytes> complete;
   for (roster_send& send :
        fetcher_->OnPart(*part, fetched_set(), now, &complete))
     out->emplace_back(std::move(send));
   if (!complete) return;
-  std::optional<document_set> set = DecodeDocumentSet(*complete);
+  std::optional<document_set> set = DecodeDocumentSet(complete->bytes);
   if (!set || set->version != fetcher_->head().version) {
     ++counters_.malformed;
     fetcher_->Reject(now);
     return;
   }
   assert(set->version > fetched_set().version);
-  withheld_set_ = std::move(*set);
+  Withhold(std::move(*set), std::move(complete->succession));
   ReleaseSet(now, out);
   FetchNewestSet(now, out);
 }
--- a/src/roster/roster_messages.cc
+++ b/src/roster/roster_messages.cc
@@ -347,12 +347,13 @@
 
 std::string Encode(const set_part& message) {
   wire_writer writer;
-  writer.Array(5);
+  writer.Array(6);
   writer.Number(message.version);
   writer.Number(message.size);
   writer.Number(message.offset);
   writer.Text(message.bytes);
   writer.Number(message.base);
+  writer.Number(message.complete_since);
   return Frame(roster_kind::kPart, writer);
 }
 
@@ -368,6 +369,7 @@
   message.offset = reader.NumberUpTo(kMaxSetBytes);
   message.bytes = reader.Text();
   if (elements >= 5) message.base = reader.Number();
+  if (elements >= 6) message.complete_since = reader.Number();
   reader.Leave();
   if (!reader.ok() || message.offset + message.bytes.size() > message.size)
     return Malformed("part", last_failure);
--- a/src/roster/roster_messages.h
+++ b/src/roster/roster_messages.h
@@ -122,6 +122,9 @@
   std::uint64_t offset = 0;  // bytes
   std::string bytes;
   std::uint64_t base = 0;  // version that the delta starts from; 0: no delta
+  // The version after which the set or delta shows all sets that were accepted;
+  // 0: not known, as by earlier releases.
+  std::uint64_t complete_since = 0;
 };
 
 // The kind of a message by its first byte; empty if it is no known kind.
--- a/src/roster/set_fetcher.cc
+++ b/src/roster/set_fetcher.cc
@@ -167,7 +167,7 @@
 
 set_fetcher::sends set_fetcher::OnPart(const set_part& part,
                                        const document_set& held, time_point now,
-                                       std::optional<std::string>* complete) {
+                                       std::optional<fetched_bytes>* complete) {
   sends out;
   if (!IsExpected(part)) return out;
   if (size_ == 0) {
@@ -178,6 +178,15 @@
   }
   const std::size_t index = part.offset / kMaxSetPart;
   if (received_[index]) return out;
+  // Parts of one set may come from hubs that know unequally much.
+  const bool is_first = missing_ == received_.size();
+  if (is_first) {
+    complete_since_ = part.complete_since;
+  } else if (complete_since_ == 0 || part.complete_since == 0) {
+    complete_since_ = 0;
+  } else {
+    complete_since_ = std::max(complete_since_, part.complete_since);
+  }
   bytes_.resize(size_);
   bytes_.replace(part.offset, part.bytes.size(), part.bytes);
   received_[index] = true;
@@ -190,17 +199,21 @@
     RequestNextParts(now, &out);
     return out;
   }
+  set_succession succession;
+  succession.may_skip_sets =
+      complete_since_ == 0 || complete_since_ > held.version;
   if (wants_delta_) {
-    std::optional<std::string> whole = ApplySetDeltas(held, bytes_);
+    std::optional<std::string> whole =
+        ApplySetDeltas(held, bytes_, &succession.intermediate_routes);
     if (!whole || !MatchesHead(*whole)) {
       wants_delta_ = false;
       Restart(now);
       RequestNextParts(now, &out);
       return out;
     }
-    *complete = std::move(whole);
+    *complete = {std::move(*whole), std::move(succession)};
   } else if (MatchesHead(bytes_)) {
-    *complete = std::move(bytes_);
+    *complete = {std::move(bytes_), std::move(succession)};
   } else {
     Reject(now);
     return out;
--- a/src/roster/set_fetcher.h
+++ b/src/roster/set_fetcher.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "roster/roster_messages.h"
+#include "tamaracklatch/control/set_delta.h"
 #include "tamaracklatch/roster/roster_member.h"
 
 namespace tamaracklatch {
@@ -20,6 +21,12 @@
   set_head head;
 };
 
+// A set that was fetched in full.
+struct fetched_bytes {
+  std::string bytes;          // as EncodeDocumentSet wrote them
+  set_succession succession;  // from the set that the caller held
+};
+
 // Requests and assembles the parts of a set; used by roster_member. Invariants:
 // all parts in flight are requested from the same hub; a set is returned to the
 // caller only if its size and hash match its head.
@@ -35,11 +42,11 @@
   sends OnTick(time_point now);
   time_point next_wake() const;
 
-  // To be called for each part received. `complete` is set to the bytes of the
-  // whole set once all parts are there and its hash matches. `held` is the set
-  // that the caller holds.
+  // To be called for each part received. `complete` is set to the whole set
+  // once all parts are there and its hash matches. `held` is the set that the
+  // caller holds.
   sends OnPart(const set_part& part, const document_set& held, time_point now,
-               std::optional<std::string>* complete);
+               std::optional<fetched_bytes>* complete);
 
   // The set being fetched; its version is 0 while there is none.
   const set_head& head() const { return head_; }
@@ -73,7 +80,9 @@
   std::string bytes_;
   std::vector<bool> received_;  // by part
   std::size_t missing_ = 0;     // parts
-  std::size_t next_part_ = 0;   // not requested yet
+  // The version after which the parts show all accepted sets; 0: not known.
+  std::uint64_t complete_since_ = 0;
+  std::size_t next_part_ = 0;  // not requested yet
   std::vector<request> in_flight_;
   time_point not_before_;  // earliest time of the next request
 };
--- a/src/roster/set_history.h
+++ b/src/roster/set_history.h
@@ -17,8 +17,9 @@
 class set_history {
  public:
   // Adds a set as EncodeDocumentSet wrote it; its version must be higher than
-  // the one held. Drops the oldest deltas where a limit is exceeded.
-  void Add(std::uint64_t version, std::string bytes);
+  // the one held. `is_next`: no set was accepted between the two. Drops the
+  // oldest deltas where a limit is exceeded.
+  void Add(std::uint64_t version, std::string bytes, bool is_next);
 
   const set_head& head() const { return head_; }
   std::string_view bytes() const { return bytes_; }
@@ -28,15 +29,21 @@
   // larger.
   std::string DeltaFrom(std::uint64_t version, std::uint64_t hash) const;
 
+  // The version after which the delta from `base`, or the whole set if that is
+  // 0, shows all sets that were accepted; 0: not known.
+  std::uint64_t CompleteSince(std::uint64_t base) const;
+
  private:
   struct step {
     std::uint64_t version = 0;  // of the set that the delta starts from
     std::uint64_t hash = 0;     // of that set
+    bool is_next = false;       // no set was accepted between the two
     std::string delta;
   };
 
   set_head head_;
   std::string bytes_;
+  std::uint64_t previous_ = 0;  // the set accepted before it; 0: not known
   std::deque<step> steps_;      // oldest first
   std::size_t step_bytes_ = 0;  // size of all their deltas
 };
--- a/src/steering/segment_hold.cc
+++ b/src/steering/segment_hold.cc
@@ -25,10 +25,12 @@
 }
 
 std::vector<std::string> segment_hold::TakeDue(bool has_set, bool is_settled,
+                                               time_point confirmed_as_of,
                                                time_point now) {
   std::vector<std::string> due;
   for (auto each = segments_.begin(); each != segments_.end();) {
-    each = TakeIfDue(&each->second, has_set, is_settled, now, &due)
+    each = TakeIfDue(&each->second, has_set, is_settled, confirmed_as_of, now,
+                     &due)
                ? segments_.erase(each)
                : std::next(each);
   }
@@ -36,14 +38,16 @@
 }
 
 bool segment_hold::TakeIfDue(entry* held, bool has_set, bool is_settled,
-                             time_point now,
+                             time_point confirmed_as_of, time_point now,
                              std::vector<std::string>* due) const {
   if (now - held->held_since > kMaxHoldTime) return true;
   if (held->reason == hold_reason::kNoSet) {
     if (has_set) due->push_back(std::move(held->bytes));
     return has_set;
   }
-  if (!is_settled || now < held->next_send) return false;
+  if (!is_settled || confirmed_as_of < held->held_since ||
+      now < held->next_send)
+    return false;
   due->push_back(held->bytes);
   held->next_send = now + kResendInterval;
   return ++held->sends == kMaxSends;
--- a/src/steering/segment_hold.h
+++ b/src/steering/segment_hold.h
@@ -38,10 +38,12 @@
   void Remove(std::uint64_t flow) { segments_.erase(flow); }
 
   // Returns the segments to route now, by ascending flow hash, and drops
-  // expired ones. Segments held as kUnsettled are returned a second time after
-  // a short interval, since the views of target daemons settle at other times.
+  // expired ones. Segments held as kUnsettled are due once the view is settled
+  // and was confirmed as of a time after their arrival. They are returned a
+  // second time after a short interval, since the views of target daemons
+  // settle at other times.
   std::vector<std::string> TakeDue(bool has_set, bool is_settled,
-                                   time_point now);
+                                   time_point confirmed_as_of, time_point now);
 
   std::size_t size() const { return segments_.size(); }
 
@@ -57,7 +59,8 @@
 
   // Appends the segment to `due` if it is to be sent now. True if the entry is
   // to be removed.
-  bool TakeIfDue(entry* held, bool has_set, bool is_settled, time_point now,
+  bool TakeIfDue(entry* held, bool has_set, bool is_settled,
+                 time_point confirmed_as_of, time_point now,
                  std::vector<std::string>* due) const;
 
   std::size_t max_segments_;
--- a/src/steering/segment_router.cc
+++ b/src/steering/segment_router.cc
@@ -72,10 +72,12 @@
 
 // ---- routes, targets and hints ----
 
-void segment_router::SetRoutes(const document_set& set, time_point now) {
+void segment_router::SetRoutes(const document_set& set,
+                               const set_succession& succession,
+                               time_point now) {
   if (set_version_ != 0 && set.version <= set_version_) return;
-  if (set_version_ == 0) first_set_time_ = now;
-  std::unordered_map<endpoint, route, address_hash> after;
+  if (set_version_ == 0 || succession.may_skip_sets) sets_known_since_ = now;
+  route_table after;
   for (const set_route& each : set.routes) {
     route& added = after[each.where];
     added.name = each.name;
@@ -87,7 +89,15 @@
     }
   }
   set_version_ = set.version;
-  RetainPastServices(after, now);
+  RemoveExpiredPastServices(now);
+  for (const set_route& each : succession.intermediate_routes) {
+    for (const service_share& share : each.shares)
+      RetainService(each.where, DigestService(share.service), after, now);
+  }
+  for (const auto& [where, before] : routes_) {
+    for (const route_share& share : before.shares)
+      RetainService(where, share.digest, after, now);
+  }
   routes_ = std::move(after);
   for (auto& [where, each] : routes_) {
     const auto past = past_services_.find(where);
@@ -118,11 +128,7 @@
   return now + settings_.max_set_delay + kMaxOpeningAge;
 }
 
-// Records the services that an address no longer has; their open flows
-// continue. Removes those whose time is over.
-void segment_router::RetainPastServices(
-    const std::unordered_map<endpoint, route, address_hash>& after,
-    time_point now) {
+void segment_router::RemoveExpiredPastServices(time_point now) {
   for (auto each = past_services_.begin(); each != past_services_.end();) {
     std::vector<past_service>& list = each->second;
     list.erase(std::remove_if(list.begin(), list.end(),
@@ -132,22 +138,25 @@
                list.end());
     each = list.empty() ? past_services_.erase(each) : std::next(each);
   }
-  for (const auto& [where, before] : routes_) {
-    const auto found = after.find(where);
-    for (const route_share& share : before.shares) {
-      const auto is_same = [&](const auto& other) {
-        return other.digest == share.digest;
-      };
-      if (found != after.end() &&
-          std::any_of(found->second.shares.begin(), found->second.shares.end(),
-                      is_same)) {
-        continue;
-      }
-      std::vector<past_service>& list = past_services_[where];
-      list.erase(std::remove_if(list.begin(), list.end(), is_same), list.end());
-      list.insert(list.begin(), {share.digest, now + settings_.max_flow_age});
-    }
-  }
+}
+
+// Records that an address had the service before, unless it has it in `after`.
+// Flows that are open there continue, and other balancers may open some until
+// they apply the set.
+void segment_router::RetainService(const endpoint& where,
+                                   const service_digest& service,
+                                   const route_table& after, time_point now) {
+  const auto is_same = [&](const auto& other) {
+    return other.digest == service;
+  };
+  const auto found = after.find(where);
+  if (found != after.end() && std::any_of(found->second.shares.begin(),
+                                          found->second.shares.end(), is_same))
+    return;
+  std::vector<past_service>& list = past_services_[where];
+  list.erase(std::remove_if(list.begin(), list.end(), is_same), list.end());
+  list.insert(list.begin(), {service, now + settings_.max_flow_age +
+                                          settings_.max_set_delay});
 }
 
 void segment_router::SetPlacementRules(const placement_rules& rules) {
@@ -196,6 +205,13 @@
     opening_cache::entry* opening = openings_->Get(flow, now);
     if (!view_confirmed_ || (opening->refused && received.opens()))
       return Drop(result_code::kRouteUnknown);
+    if (opening->first_searched == time_point()) opening->first_searched = now;
+    // A set accepted since the view was confirmed may have added the route.
+    if (!received.opens() && view_confirmed_as_of_ < opening->first_searched) {
+      hold_->Keep(flow, segment_hold::hold_reason::kUnsettled, received.bytes,
+                  false, now);
+      return Drop(result_code::kRouteUnknown);
+    }
     // A later set may add the route while the reset is still in transit, so
     // later copies of the opening are not placed.
     opening->refused = true;
@@ -207,7 +223,8 @@
 
 std::vector<std::string> segment_router::TakeHeld(time_point now) {
   if (hold_->size() == 0) return {};
-  return hold_->TakeDue(set_version_ != 0, IsViewSettled(now), now);
+  return hold_->TakeDue(set_version_ != 0, IsViewSettled(now),
+                        view_confirmed_as_of_, now);
 }
 
 // Whether a search that starts now can be confirmed.
@@ -229,8 +246,8 @@
 
 // The header of a segment of the flow. It lists the service of the share, the
 // route's other services and its past ones; also those of all known targets if
-// the first set was applied less than `flow_age` ago. Confirmed if the view is
-// confirmed and the services fit into the header.
+// a flow of `flow_age` may have opened under a set that is not known. Confirmed
+// if the view is confirmed and the services fit into the header.
 steering_header segment_router::MakeHeader(const route& matched,
                                            std::size_t share,
                                            std::uint64_t flow,
@@ -254,25 +271,26 @@
   for (const past_service& each : matched.past_services) {
     if (each.searched_until > now) add(each.digest);
   }
-  // Document sets applied before this balancer started may have had any service
-  // for the route.
-  if (now - first_set_time_ < flow_age) {
+  // A set that this balancer does not know may have had any service for the
+  // route, and other balancers may have used it for max_set_delay more.
+  if (now - sets_known_since_ < flow_age + settings_.max_set_delay) {
     for (const service_digest& each : targets_->Services()) add(each);
   }
   header.confirmed = view_confirmed_ && complete;
   return header;
 }
 
-// The header for an opening. It is not confirmed within kMaxOpeningAge of the
-// first set, since another copy of the opening, sent before, may still be in
-// transit to a service that this balancer does not know.
+// The header for an opening. It is not confirmed within kMaxOpeningAge of a set
+// before which others may be unknown, since another copy of the opening, sent
+// before, may still be in transit to a service that this balancer does not
+// know.
 steering_header segment_router::MakeOpeningHeader(const route& matched,
                                                   std::size_t share,
                                                   std::uint64_t flow,
                                                   time_point now) const {
   steering_header header =
       MakeHeader(matched, share, flow, kMaxOpeningAge, now);
-  if (now - first_set_time_ < kMaxOpeningAge) header.confirmed = false;
+  if (now - sets_known_since_ < kMaxOpeningAge) header.confirmed = false;
   return header;
 }
 
@@ -446,10 +464,13 @@
     ++opening->searches;
   opening->searched = now;
   if (opening->first_searched == time_point()) opening->first_searched = now;
+  // The flow may have opened under a set accepted since the view was confirmed.
+  const bool is_view_current = view_confirmed_as_of_ >= opening->first_searched;
   const time_point since =
       std::min(opening->first_searched, targets_->last_joined());
-  if (now - since < kRosterSettleTime) header.confirmed = false;
-  if (!header.confirmed && !IsViewSettled(now))
+  if (!is_view_current || now - since < kRosterSettleTime)
+    header.confirmed = false;
+  if (!header.confirmed && !(is_view_current && IsViewSettled(now)))
     hold_->Keep(flow, segment_hold::hold_reason::kUnsettled, received.bytes,
                 false, now);
   // Each retransmission goes to another target first, so that a dead target
--- a/tests/roster/roster_simulation.h
+++ b/tests/roster/roster_simulation.h
@@ -69,6 +69,8 @@
     std::deque<std::pair<endpoint, std::string>> inbox;
     std::uint64_t applied_version = 0;  // by the log of a control VM
     std::uint64_t applied_rules = 0;    // revision; the same
+    std::uint64_t routes_version = 0;   // of the set received last
+    std::vector<set_route> routes;      // the same
     time_point wake_at = time_point::max();
 
     // What its member reported so far, for the checks.
@@ -157,6 +159,7 @@
   void CheckEntry(process* node, const roster_entry& entry);
   void CheckRules(process* node, const placement_rules& rules);
   void CheckSet(process* node, const document_set& set);
+  void CheckSuccession(process* node, const set_received& received);
   void RecordRulesReport(process* node, const endpoint& from,
                          const std::string& bytes, duration delay);
   void CheckState(process* node);
--- a/tests/steering/schedule_test.cc
+++ b/tests/steering/schedule_test.cc
@@ -42,6 +42,26 @@
   });
 }
 
+// Guards against resets of flows that were opened under a document set that a
+// balancer never applied: a route goes to another service and back.
+Test(schedule, holds_its_invariants_where_sets_are_missed) {
+  test::CheckProperty("random schedules of missed sets", [] {
+    simulation_settings settings;
+    settings.seed = *rc::gen::arbitrary<std::uint64_t>();
+    settings.balancers = *rc::gen::inRange<std::size_t>(2, 5);
+    settings.target_vms = *rc::gen::inRange<std::size_t>(4, 9);
+    settings.fault_rate = static_cast<double>(*rc::gen::inRange(1, 12));
+    settings.set_rate = static_cast<double>(*rc::gen::inRange(1, 8));
+    settings.max_set_delay = std::chrono::milliseconds(2500);
+    settings.unknown_sets = 0.1 * *rc::gen::inRange(0, 11);
+    settings.rotation_interval = std::chrono::milliseconds(700);
+    steering_simulation simulation(settings);
+    const std::string failed = simulation.Run();
+    RC_LOG() << "seed " << settings.seed << ": " << failed;
+    RC_ASSERT(failed.empty());
+  });
+}
+
 // Guards against refusals of a first copy while another copy opens the flow at
 // a target whose restarted daemon is silent and has no report of it yet.
 Test(schedule, asks_silent_daemons_whose_target_may_run) {
--- a/tests/steering/steering_simulation.h
+++ b/tests/steering/steering_simulation.h
@@ -48,6 +48,15 @@
   // never.
   std::size_t zones = 1;
   duration evacuation_interval{0};
+  // A balancer applies a document set within this time, unless a later one
+  // comes first.
+  duration max_set_delay = std::chrono::milliseconds(800);
+  // The share of the missed sets of which a balancer knows nothing; it knows
+  // the routes of the others.
+  double unknown_sets = 0.0;
+  // Mean number of document sets per second of the fault phase, each of which
+  // gives the route to one service alone; 0: sets are among the faults.
+  double set_rate = 0.0;
   // Shares of the messages that are lost, duplicated and delayed by up to 700
   // ms more, all in the fault phase only.
   double lost = 0.05;
@@ -111,6 +120,9 @@
   void ScheduleRotation();
   void LosePower();
   void ScheduleEvacuation();
+  const std::string& FirstServiceOf(std::size_t number) const;
+  void ScheduleNextSet();
+  void ConfirmViews();
   void OrderEvacuation(std::vector<zone_name> zones);
   void SendRulesToDaemon(target_vm* to);
   bool AllNodesHaveRules() const;
@@ -128,6 +140,7 @@
   static bool IsNewer(const roster_entry& entry, std::uint64_t change,
                       seen_changes* seen);
   void SetShares(std::vector<service_share> shares);
+  void Deliver(const document_set& set, balancer* to);
 
   // ---- callers ----
   void StartCaller(std::size_t number);
@@ -167,7 +180,9 @@
   // Number of balancers, from the first on, that receive callers' segments.
   std::size_t in_rotation_ = 0;
   document_set set_;
-  placement_rules rules_;                         // the last order
+  std::vector<std::vector<set_route>> set_routes_;  // of all sets so far
+  std::vector<time_point> set_times_;               // when they were accepted
+  placement_rules rules_;                           // the last order
   std::set<std::string> named_services_;          // of all document sets so far
   std::unordered_set<std::string> caller_bytes_;  // sent by any caller
   std::unordered_set<std::string> target_bytes_;  // sent by any target
