Accept cold limits that are whole numbers, alike on all releases

Cause: wire_writer::Real left the number to the MessagePack packer, which writes a whole number as an integer; wire_reader::Real takes a 64-bit float only. Each voter refused the entry when it applied it.

Ruled out: a reader that takes integers too. Entries with one are in logs and were refused; a voter that replays them would hold a set that the others do not.

Change: the writer always writes a 64-bit float, the reader is unchanged, so every release reads what a new one writes and refuses what it refused before. The operator's text is kept as it was sent.

Looked at besides: all written types at their extremes (new tests), bounds of node records, registrations and orders.

--- a/include/tamaracklatch/control/document_set.h
+++ b/include/tamaracklatch/control/document_set.h
@@ -73,6 +73,13 @@
 // found to `failures`, each with kSetInvalid; true if there is none.
 bool CheckDocumentSet(const document_set& set, std::vector<failure>* failures);
 
+// Returns the set as it is proposed to the log: without cold limits that are
+// whole numbers, which are raised by the smallest step of a double. Earlier
+// releases write such a limit as an integer, which no release reads. A voter of
+// one could apply it, but neither restore its own snapshot nor distribute the
+// rules, and it would admit other rules, since it encodes them in less space.
+document_set ToLogForm(document_set set);
+
 // Encodes a set for the log and for the nodes; equal sets give equal bytes. The
 // set must satisfy the invariants.
 std::string EncodeDocumentSet(const document_set& set);
--- a/include/tamaracklatch/transport/wire.h
+++ b/include/tamaracklatch/transport/wire.h
@@ -36,6 +36,7 @@
   void Array(std::size_t count);
   void Number(std::uint64_t value);
   void Signed(std::int64_t value);
+  // Always takes the same number of bytes, also for a whole number.
   void Real(double value);
   void Flag(bool value);
   void Text(std::string_view value);
@@ -74,6 +75,9 @@
   // A number that must be at most `max`; a larger one is a failed read.
   std::uint64_t NumberUpTo(std::uint64_t max);
   std::int64_t Signed();
+  // Refuses a whole number that was written as an integer, as earlier releases
+  // did: all voters must agree on an entry of the log, whichever release reads
+  // it.
   double Real();
   bool Flag();
   std::string Text();
--- a/src/control/document_set.cc
+++ b/src/control/document_set.cc
@@ -92,6 +92,15 @@
   std::map<endpoint, std::size_t> routes_;  // indexes by address
 };
 
+// The nearest double above a whole number, or the largest double that is not a
+// whole number.
+double WithFraction(double whole) {
+  constexpr double kLargestFraction = 4503599627370495.5;  // 2^52 - 0.5
+  const double next =
+      std::nextafter(whole, std::numeric_limits<double>::infinity());
+  return std::min(next, kLargestFraction);
+}
+
 }  // namespace
 
 bool CheckDocumentSet(const document_set& set, std::vector<failure>* failures) {
@@ -107,6 +116,14 @@
   return false;
 }
 
+document_set ToLogForm(document_set set) {
+  for (cold_limit& limit : set.cold_limits) {
+    double& value = limit.openings_per_second;
+    if (value == std::trunc(value)) value = WithFraction(value);
+  }
+  return set;
+}
+
 std::string EncodeDocumentSet(const document_set& set) {
   const service_indexes indexes = IndexServices(set.services);
   wire_writer writer;
--- a/src/control/document_set_handler.cc
+++ b/src/control/document_set_handler.cc
@@ -97,9 +97,9 @@
   ++waiting_;
   const waiting_replacement waiting{request, version, now + settings_.timeout};
   control_command command;
-  command.body = replace_document_set{EncodeDocumentSet(replacement.set),
-                                      replacement.source_text,
-                                      replacement.submitter, version};
+  command.body = replace_document_set{
+      EncodeDocumentSet(ToLogForm(replacement.set)), replacement.source_text,
+      replacement.submitter, version};
   std::string untagged = Encode(command);
   for (auto& [tag, pending] : proposals_) {
     if (pending.command != untagged) continue;
--- a/src/transport/wire.cc
+++ b/src/transport/wire.cc
@@ -2,12 +2,21 @@
 // library's limits before it allocates.
 #include "tamaracklatch/transport/wire.h"
 
+#include <array>
 #include <cassert>
 #include <cstring>
 #include <msgpack.hpp>
 #include <vector>
 
 namespace tamaracklatch {
+namespace {
+
+// MessagePack's "float 64": a tag, then the bits of the number, the most
+// significant byte first.
+constexpr unsigned char kFloat64Tag = 0xcb;
+constexpr std::size_t kRealBytes = 9;
+
+}  // namespace
 
 struct wire_writer::state {
   msgpack::sbuffer buffer;
@@ -24,7 +33,19 @@
 }
 void wire_writer::Number(std::uint64_t value) { state_->packer.pack(value); }
 void wire_writer::Signed(std::int64_t value) { state_->packer.pack(value); }
-void wire_writer::Real(double value) { state_->packer.pack(value); }
+
+// The packer is not used here: it writes whole numbers as integers.
+void wire_writer::Real(double value) {
+  static_assert(sizeof(value) == sizeof(std::uint64_t));
+  std::uint64_t bits = 0;
+  std::memcpy(&bits, &value, sizeof(bits));
+  std::array<char, kRealBytes> bytes{};
+  bytes[0] = static_cast<char>(kFloat64Tag);
+  for (std::size_t i = 1; i < bytes.size(); ++i)
+    bytes[i] = static_cast<char>(bits >> (8 * (bytes.size() - 1 - i)) & 0xffU);
+  state_->buffer.write(bytes.data(), bytes.size());
+}
+
 void wire_writer::Flag(bool value) { state_->packer.pack(value); }
 
 void wire_writer::Text(std::string_view value) {
--- a/tests/control/document_set_test.cc
+++ b/tests/control/document_set_test.cc
@@ -174,7 +174,10 @@
     set.routes.front().name = *rc::gen::arbitrary<std::string>();
     set.routes.back().urgency =
         static_cast<std::uint8_t>(*rc::gen::inRange(0, 8));
-    if (*rc::gen::arbitrary<bool>()) set.cold_limits = {{"cards", 0.25}};
+    if (*rc::gen::arbitrary<bool>()) {
+      set.cold_limits = {
+          {"cards", *rc::gen::element(0.25, 1.0, 5.0, 1e9, 0x1p63, 0x1p64)}};
+    }
     const std::string bytes = EncodeDocumentSet(set);
     const auto read = DecodeDocumentSet(bytes);
     RC_ASSERT(read.has_value());
--- a/tests/control/document_sets.h
+++ b/tests/control/document_sets.h
@@ -50,7 +50,7 @@
           set.services.begin() + *rc::gen::inRange(0, 2),
           "service-" + std::to_string(set.version) + std::to_string(edit));
     } else if (kind == 5) {
-      set.cold_limits = {{set.services.front(), 0.5 + edit}};
+      set.cold_limits = {{set.services.front(), 0.5 * (1 + edit)}};
     } else if (place == routes.end()) {
       continue;
     } else if (kind == 2) {
--- a/tests/transport/wire_test.cc
+++ b/tests/transport/wire_test.cc
@@ -2,6 +2,9 @@
 // bytes make the reader fail otherwise than by ok().
 #include "tamaracklatch/transport/wire.h"
 
+#include <cfloat>
+#include <cmath>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -34,6 +37,94 @@
                       });
 }
 
+// Values at which an encoding changes its form, and the extremes.
+const std::vector<std::uint64_t> kNumbers{
+    0,          1,          127,        128,         255,        256,
+    65535,      65536,      0x7fffffff, 0x80000000U, 0xffffffff, 0x100000000U,
+    1ULL << 53, 1ULL << 63, INT64_MAX,  UINT64_MAX};
+
+template <typename Value>
+void ExpectReadAgain(Value value) {
+  wire_writer writer;
+  writer.Write(value);
+  wire_reader reader(writer.bytes());
+  Value read{};
+  reader.Read(&read);
+  cr_expect(reader.ok() && read == value);
+}
+
+Test(wire, reads_extreme_numbers) {
+  for (const std::uint64_t number : kNumbers) {
+    wire_writer writer;
+    writer.Array(3);
+    writer.Number(number);
+    writer.Signed(static_cast<std::int64_t>(number));
+    writer.Signed(-static_cast<std::int64_t>(number >> 1U) - 1);
+    wire_reader reader(writer.bytes());
+    reader.Array();
+    cr_expect_eq(reader.Number(), number);
+    cr_expect_eq(reader.Signed(), static_cast<std::int64_t>(number));
+    cr_expect_eq(reader.Signed(), -static_cast<std::int64_t>(number >> 1U) - 1);
+    cr_expect(reader.ok(), "%llu", static_cast<unsigned long long>(number));
+    ExpectReadAgain(revision{number});
+    ExpectReadAgain(duration(static_cast<std::int64_t>(number)));
+    ExpectReadAgain(
+        wall_time(duration(-static_cast<std::int64_t>(number >> 1U))));
+    ExpectReadAgain(target_id{static_cast<std::uint32_t>(number),
+                              static_cast<std::uint32_t>(~number)});
+    ExpectReadAgain(endpoint{MakeV4(static_cast<std::uint32_t>(number)),
+                             static_cast<std::uint16_t>(number)});
+  }
+}
+
+// Whole numbers were written as integers, which the reader refuses.
+Test(wire, reads_every_real_number) {
+  std::vector<double> values{0.5,     1.5,          5.0,      -5.0,    0.0,
+                             1e9,     1e300,        DBL_MIN,  DBL_MAX, -DBL_MAX,
+                             1e-300,  DBL_TRUE_MIN, 0x1p63,   -0x1p63, 0x1p64,
+                             -0x1p64, INFINITY,     -INFINITY};
+  for (const std::uint64_t number : kNumbers) {
+    values.push_back(static_cast<double>(number));
+    values.push_back(-static_cast<double>(number));
+  }
+  for (const double value : values) {
+    wire_writer writer;
+    writer.Real(value);
+    cr_expect_eq(writer.bytes().size(), 9U);
+    wire_reader reader(writer.bytes());
+    const double read = reader.Real();
+    cr_expect(reader.ok() && read == value, "%.17g", value);
+  }
+  wire_writer writer;
+  writer.Array(2);
+  writer.Real(NAN);
+  writer.Real(-0.0);
+  wire_reader reader(writer.bytes());
+  reader.Array();
+  cr_expect(std::isnan(reader.Real()));
+  cr_expect(std::signbit(reader.Real()));
+  cr_expect(reader.ok());
+}
+
+Test(wire, reads_texts_and_arrays_of_every_length) {
+  for (const std::size_t size :
+       {0, 1, 15, 16, 31, 32, 255, 256, 65535, 65536}) {
+    wire_writer writer;
+    writer.Array(2);
+    writer.Text(std::string(size, '\xff'));
+    writer.Array(size);
+    for (std::size_t i = 0; i < size; ++i) writer.Flag(i % 2 == 0);
+    wire_reader reader(writer.bytes());
+    reader.Array();
+    cr_expect_eq(reader.Text().size(), size);
+    cr_expect_eq(reader.Array(), size);
+    for (std::size_t i = 0; i < size; ++i)
+      cr_expect_eq(reader.Flag(), i % 2 == 0);
+    reader.Leave();
+    cr_expect(reader.ok(), "%zu", size);
+  }
+}
+
 Test(wire, truncated_messages_are_refused) {
   wire_writer writer;
   writer.Array(2);
