--- a/include/tamaracklatch/steering/segment_router.h
+++ b/include/tamaracklatch/steering/segment_router.h
@@ -78,9 +78,10 @@
   ~segment_router();
 
   // Replaces the routes by those of `set`; a set whose version is not higher is
-  // ignored. `succession` is from the set applied before. Services that a route
-  // no longer has, or had only in between, are searched for as long as flows
-  // may be open there; all known services where sets may have been skipped.
+  // ignored. `succession` is from the set applied before. Services that the
+  // replaced set or one in between gives a route, and `set` does not, are
+  // searched for as long as flows may be open there; all known services where
+  // sets may have been skipped.
   void SetRoutes(const document_set& set, const set_succession& succession,
                  time_point now);
 
--- a/tests/roster/roster_simulation.cc
+++ b/tests/roster/roster_simulation.cc
@@ -536,8 +536,8 @@
           *node, "a set was reported before the rules of " + ToString(hub));
 }
 
-// Unless sets may be missing, the services of every set accepted in between are
-// told.
+// Unless sets may be missing, the succession lists the services of every set
+// accepted in between.
 void roster_simulation::CheckSuccession(process* node,
                                         const set_received& received) {
   const auto services_of = [](const std::vector<set_route>& routes) {
--- a/tests/roster/set_history_test.cc
+++ b/tests/roster/set_history_test.cc
@@ -193,8 +193,8 @@
   }
 }
 
-// A part of an earlier release does not tell whether sets were skipped.
-Test(set_history, a_part_of_an_earlier_release_may_skip_sets) {
+// A part without complete_since leaves it unknown whether sets were skipped.
+Test(set_history, a_part_without_complete_since_may_skip_sets) {
   const std::string bytes = EncodeDocumentSet(test::MakeSet(5));
   set_part part{5, bytes.size(), 0, bytes, 0};
   part.complete_since = 4;
