--- a/review/rig3/rig.py
+++ b/review/rig3/rig.py
@@ -7,6 +7,7 @@
 import os
 import pathlib
 import random
+import shutil
 import signal
 import socket
 import struct
@@ -211,6 +212,7 @@
                 process.kill()
         for process in self.processes.values():
             process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
     # The operator.
 
