Take names of any length into node records and link handshakes

Callers saw: a desired state with a service name of 156 bytes is acknowledged, and no request of that service is ever served. The daemon beside each of its targets aborts at every start.

Cause: roster_member asserts that zone and service of its own record have at most 128 bytes, so that entries of the roster fit into one datagram. Settings and document sets have no such limit, and the settings reach the assertion unchecked.

Change: AbbreviateName gives messages a name of bounded size. Up to 128 bytes it is the name itself, so that records, hellos and log entries of all installations that worked stay as they were, byte for byte. A longer name becomes its first letters, '~' and its 128-bit digest, which is the digest that steering headers carry anyway; a name that reads like that is abbreviated too, so that no two names meet.

Looked at every place that holds, sends, parses or asserts a name, with 128, 129, 256 and 400 bytes, letters of two bytes, and names that differ in the last letter alone: - node record, service and zone: the assertion. Abbreviated where the record is made; the directory takes the service's digest from it, and compares zones and looks up cold limits by it. - handshake of links between control VMs: a VM or zone above 128 bytes was refused by the peer, so no leader was ever elected; above about 900 bytes together an assertion ended the process. Abbreviated. - order for a zone above 128 bytes: refused for good (404). The entry has the abbreviation now, which control VMs of earlier releases apply alike. - order for a zone whose name is no UTF-8: no answer, as the body of the refusal could not be written.

--- a/include/tamaracklatch/control/control_command.h
+++ b/include/tamaracklatch/control/control_command.h
@@ -9,6 +9,7 @@
 #include <variant>
 
 #include "tamaracklatch/control/known_nodes.h"
+#include "tamaracklatch/core/abbreviated_name.h"
 #include "tamaracklatch/core/ids.h"
 #include "tamaracklatch/membership/announcement.h"
 
@@ -28,14 +29,14 @@
   std::uint64_t version = 0;  // of the set
 };
 
-// Maximum length of a zone's name in an order, in bytes.
-inline constexpr std::size_t kMaxOrderedZoneBytes = 128;
+// Maximum size of a zone's name in an order's entry, in bytes.
+inline constexpr std::size_t kMaxOrderedZoneBytes = kMaxAbbreviatedName;
 
 // An operator orders that a zone gets no new openings, or withdraws that order.
 // An entry whose zone is empty or longer than kMaxOrderedZoneBytes is
 // malformed.
 struct set_zone_evacuation {
-  zone_name zone;
+  zone_name zone;  // abbreviated in an entry, as AbbreviateName returns it
   bool evacuated = false;
   std::string submitter;  // the token's holder
 };
--- a/include/tamaracklatch/control/placement_rules.h
+++ b/include/tamaracklatch/control/placement_rules.h
@@ -33,9 +33,10 @@
   // Revision of the log entry that last changed the rules; 0: there never were
   // any.
   std::uint64_t revision = 0;
-  std::vector<zone_name> evacuated_zones;
+  std::vector<zone_name> evacuated_zones;  // as AbbreviateName returns them
   std::vector<cold_limit> cold_limits;
 
+  // `zone`: abbreviated as well.
   bool IsEvacuated(const zone_name& zone) const;
   // The limit of the service in openings per second; 0: none.
   double ColdLimitOf(std::string_view service) const;
--- a/include/tamaracklatch/control/zone_order_handler.h
+++ b/include/tamaracklatch/control/zone_order_handler.h
@@ -55,7 +55,8 @@
   zone_order_handler(const zone_order_handler_settings& settings,
                      std::uint64_t seed);
 
-  // Called when an operator sends an order. `request` is a number that the
+  // Called when an operator sends an order, with the zone's name in full; the
+  // proposed entry has it abbreviated. `request` is a number that the
   // answer carries. An order that is equal to a pending one shares its
   // proposal, unless another order for the zone was proposed since: the shared
   // entry would come before that other order in the log.
--- a/include/tamaracklatch/roster/node_record.h
+++ b/include/tamaracklatch/roster/node_record.h
@@ -53,14 +53,14 @@
   std::uint64_t generation = 0;  // wall clock at the start, in microseconds
   std::uint64_t sequence = 0;    // increases with each change of the record
   node_role role = node_role::kTarget;
-  zone_name zone;
+  zone_name zone;        // abbreviated, as AbbreviateName returns it
   bool leaving = false;  // a graceful stop has begun; final for this start
 
   // Set by a control VM only.
   endpoint operators;  // TCP, the HTTP interface for operators
 
   // Set by a target daemon only.
-  std::string service;
+  std::string service;  // abbreviated, as AbbreviateName returns it
   target_condition condition = target_condition::kAbsent;
   std::uint32_t slots = 1;  // requests that the target runs concurrently
   std::uint32_t load = 0;   // in 1/256 of a slot, smoothed
--- a/include/tamaracklatch/steering/service_digest.h
+++ b/include/tamaracklatch/steering/service_digest.h
@@ -2,18 +2,17 @@
 // fixed size whatever the length of the name.
 #pragma once
 
-#include <array>
 #include <cstddef>
-#include <cstdint>
 #include <cstring>
 #include <string_view>
 
+#include "tamaracklatch/core/abbreviated_name.h"
+
 namespace tamaracklatch {
 
-// A 128-bit BLAKE2b digest of a service's name; the same on every node and in
-// every version. Stands for the name: no two names of one digest can be found.
+// The digest of a service's name.
 struct service_digest {
-  std::array<std::uint8_t, 16> bytes{};
+  name_digest bytes{};
 
   friend bool operator==(const service_digest& left,
                          const service_digest& right) {
@@ -30,6 +29,8 @@
 };
 
 service_digest DigestService(std::string_view name);
+// The same from the name as AbbreviateName returned it.
+service_digest DigestAbbreviatedService(std::string_view abbreviated);
 
 // For hash tables within one process.
 struct service_digest_hash {
--- a/src/control/zone_order_handler.cc
+++ b/src/control/zone_order_handler.cc
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "tamaracklatch/core/abbreviated_name.h"
+
 namespace tamaracklatch {
 namespace {
 
@@ -37,10 +39,8 @@
     if (code == result_code::kNotLeader) answer.leader = leadership.leader;
     return {std::move(answer)};
   };
-  if (order.zone.empty() || order.zone.size() > kMaxOrderedZoneBytes) {
-    return refuse(result_code::kZoneOrderMalformed,
-                  fmt::format("the zone's name has {} bytes, not 1 to {}",
-                              order.zone.size(), kMaxOrderedZoneBytes));
+  if (order.zone.empty()) {
+    return refuse(result_code::kZoneOrderMalformed, "the zone's name is empty");
   }
   if (!leadership.is_leader) {
     return refuse(result_code::kNotLeader,
@@ -55,10 +55,13 @@
   }
   ++waiting_;
   const waiting_order waiting{request, now + settings_.timeout};
+  set_zone_evacuation body = order;
+  body.zone = AbbreviateName(order.zone);
+  const zone_name zone = body.zone;
   control_command command;
-  command.body = order;
+  command.body = std::move(body);
   std::string untagged = Encode(command);
-  const auto newest = newest_.find(order.zone);
+  const auto newest = newest_.find(zone);
   if (newest != newest_.end()) {
     const auto pending = proposals_.find(newest->second);
     if (pending != proposals_.end() && pending->second.command == untagged) {
@@ -67,8 +70,8 @@
     }
   }
   command.tag = NewTag();
-  newest_[order.zone] = command.tag;
-  proposals_[command.tag] = {order.zone, std::move(untagged), {waiting}};
+  newest_[zone] = command.tag;
+  proposals_[command.tag] = {zone, std::move(untagged), {waiting}};
   return {propose_command{command.tag, Encode(command)}};
 }
 
--- a/src/daemon/roster_agent.cc
+++ b/src/daemon/roster_agent.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "tamaracklatch/core/abbreviated_name.h"
 #include "tamaracklatch/roster/roster_message_kind.h"
 
 namespace tamaracklatch {
@@ -15,7 +16,7 @@
   result.generation =
       static_cast<std::uint64_t>(frame.WallNow().time_since_epoch().count());
   result.role = role;
-  result.zone = frame.self().zone;
+  result.zone = AbbreviateName(frame.self().zone);
   return result;
 }
 
--- a/src/daemon/steering_control.cc
+++ b/src/daemon/steering_control.cc
@@ -7,6 +7,8 @@
 #include <cstdio>
 #include <utility>
 
+#include "tamaracklatch/core/abbreviated_name.h"
+
 namespace tamaracklatch {
 namespace {
 
@@ -170,10 +172,11 @@
 
 bool steering_control::IsKnownZone(const zone_name& zone) const {
   const auto& entries = roster_.member().entries();
+  const zone_name abbreviated = AbbreviateName(zone);
   return zone == settings_.process.zone || settings_.zones.count(zone) != 0 ||
-         state_.rules().IsEvacuated(zone) ||
+         state_.rules().IsEvacuated(abbreviated) ||
          std::any_of(entries.begin(), entries.end(), [&](const auto& each) {
-           return each.second.record.zone == zone;
+           return each.second.record.zone == abbreviated;
          });
 }
 
--- a/src/daemon/steering_target.cc
+++ b/src/daemon/steering_target.cc
@@ -7,6 +7,7 @@
 #include <cstdio>
 #include <utility>
 
+#include "tamaracklatch/core/abbreviated_name.h"
 #include "tamaracklatch/steering/steering_header.h"
 
 namespace tamaracklatch {
@@ -25,7 +26,7 @@
                       const process_frame& frame) {
   node_record result =
       MakeOwnRecord(frame, node_role::kTarget, settings.cluster);
-  result.service = settings.service;
+  result.service = AbbreviateName(settings.service);
   result.condition = target_condition::kUnreported;
   return result;
 }
--- a/src/roster/roster_messages.h
+++ b/src/roster/roster_messages.h
@@ -12,6 +12,7 @@
 
 #include "tamaracklatch/control/document_set.h"
 #include "tamaracklatch/control/placement_rules.h"
+#include "tamaracklatch/core/abbreviated_name.h"
 #include "tamaracklatch/core/result_code.h"
 #include "tamaracklatch/roster/node_record.h"
 
@@ -32,8 +33,9 @@
 inline constexpr std::size_t kMaxEntryBytes = 1040;
 inline constexpr std::size_t kMaxSetPart = 1100;  // bytes
 inline constexpr std::size_t kMaxSetBytes = kMaxEncodedSetBytes;
-inline constexpr std::size_t kMaxNodeName = 128;  // of a zone or service, bytes
-inline constexpr std::size_t kMaxConflicts = 8;   // in one announcement
+// Of an abbreviated zone or service, bytes.
+inline constexpr std::size_t kMaxNodeName = kMaxAbbreviatedName;
+inline constexpr std::size_t kMaxConflicts = 8;  // in one announcement
 inline constexpr std::uint64_t kMaxGeneration = std::uint64_t{1} << 62U;
 
 // Reported by a member to a hub whose roster has an earlier start of a node
--- a/src/steering/segment_owner.cc
+++ b/src/steering/segment_owner.cc
@@ -261,7 +261,7 @@
 // Whether the placement rules list the zone of this daemon. A balancer that
 // does not have these rules yet may still send openings here.
 bool segment_owner::IsEvacuated() const {
-  return targets_->rules().IsEvacuated(settings_.zone);
+  return targets_->IsOwnZoneEvacuated();
 }
 
 // Whether the target is cold and has received as many openings in the last
--- a/src/steering/service_digest.cc
+++ b/src/steering/service_digest.cc
@@ -1,17 +1,14 @@
-// Digests of service names by libsodium.
+// Digests of service names.
 #include "tamaracklatch/steering/service_digest.h"
 
-#include <sodium/crypto_generichash_blake2b.h>
-
 namespace tamaracklatch {
 
 service_digest DigestService(std::string_view name) {
-  service_digest digest;
-  crypto_generichash_blake2b(
-      digest.bytes.data(), digest.bytes.size(),
-      reinterpret_cast<const unsigned char*>(name.data()), name.size(), nullptr,
-      0);
-  return digest;
+  return {DigestName(name)};
+}
+
+service_digest DigestAbbreviatedService(std::string_view abbreviated) {
+  return {DigestOfAbbreviated(abbreviated)};
 }
 
 }  // namespace tamaracklatch
--- a/src/steering/target_directory.cc
+++ b/src/steering/target_directory.cc
@@ -51,7 +51,7 @@
   const bool changes_service = is_new || !IsListedUnder(target, record.service);
   if (changes_service) {
     if (!is_new) RemoveFromService(target, place->second);
-    target.service = DigestService(record.service);
+    target.service = DigestAbbreviatedService(record.service);
     service_targets& listed = services_[target.service];
     listed.name = record.service;
     listed.targets.push_back(place->second);
@@ -140,16 +140,18 @@
 void target_directory::SetRules(const placement_rules& rules) {
   if (rules.revision <= rules_.revision) return;
   rules_ = rules;
+  cold_limits_.clear();
+  for (const cold_limit& limit : rules.cold_limits)
+    cold_limits_[DigestService(limit.service)] = limit.openings_per_second;
   for (directory_target& target : targets_) ApplyRules(&target);
 }
 
 void target_directory::ApplyRules(directory_target* target) const {
   if (rules_.revision == 0) return;
   target->evacuated = rules_.IsEvacuated(target->zone);
-  const auto listed = services_.find(target->service);
-  target->cold_limit = ColdOpeningsPerSecond(
-      listed == services_.end() ? 0.0
-                                : rules_.ColdLimitOf(listed->second.name));
+  const auto limit = cold_limits_.find(target->service);
+  target->cold_limit =
+      ColdOpeningsPerSecond(limit == cold_limits_.end() ? 0.0 : limit->second);
 }
 
 target_index target_directory::Find(const endpoint& where) const {
--- a/src/steering/target_directory.h
+++ b/src/steering/target_directory.h
@@ -15,6 +15,7 @@
 #include "steering/endpoint_hash.h"
 #include "steering/opening_candidates.h"
 #include "tamaracklatch/control/placement_rules.h"
+#include "tamaracklatch/core/abbreviated_name.h"
 #include "tamaracklatch/roster/node_record.h"
 #include "tamaracklatch/steering/steering_header.h"
 
@@ -35,7 +36,7 @@
   std::uint64_t hash = 0;  // HashEndpoint of `where`
   std::uint64_t node = 0;  // NodeTag of this start of the daemon
   service_digest service;
-  zone_name zone;
+  zone_name zone;          // abbreviated, as in node_record
   bool own_zone = false;   // in the zone of this node
   bool evacuated = false;  // the placement rules list `zone`
   // The most openings that it accepts in one second while cold; 0: no limit.
@@ -83,7 +84,7 @@
   // `zone`: of this node. After its daemon has left, a target counts as a
   // possible owner for `max_flow_age` more.
   target_directory(const zone_name& zone, duration max_flow_age)
-      : zone_(zone), max_flow_age_(max_flow_age) {}
+      : zone_(AbbreviateName(zone)), max_flow_age_(max_flow_age) {}
 
   // Adds or updates the target of a roster entry. False, without effect, if the
   // entry is of another role.
@@ -93,6 +94,8 @@
   // applies them to all known targets.
   void SetRules(const placement_rules& rules);
   const placement_rules& rules() const { return rules_; }
+  // Whether the rules list the zone of this node.
+  bool IsOwnZoneEvacuated() const { return rules_.IsEvacuated(zone_); }
 
   // kNoTargetIndex if the endpoint is not of a target.
   target_index Find(const endpoint& where) const;
@@ -192,18 +195,20 @@
   void RemoveFromService(const directory_target& target, target_index index);
   void UpdateServiceTimes(const service_digest& service);
   void UpdateMeanLoad(const service_digest& service);
-  // Whether the target is listed under the service of that name.
+  // Whether the target is listed under the service of that abbreviated name.
   bool IsListedUnder(const directory_target& target,
                      const std::string& service) const;
 
-  zone_name zone_;
+  zone_name zone_;  // abbreviated, as in node_record
   placement_rules rules_;
+  // The cold limits of `rules_`, by service.
+  std::unordered_map<service_digest, double, service_digest_hash> cold_limits_;
   duration max_flow_age_;
   std::vector<directory_target> targets_;
   time_point last_joined_;
   std::unordered_map<endpoint, target_index, endpoint_hash> indices_;
   struct service_targets {
-    std::string name;
+    std::string name;                   // abbreviated, as in node_record
     std::vector<target_index> targets;  // never empty
     // Median of the known service times of targets that are not gone; 0: none.
     std::uint32_t service_time = 0;
--- a/src/transport/link_codec.cc
+++ b/src/transport/link_codec.cc
@@ -7,6 +7,7 @@
 
 #include <cassert>
 
+#include "tamaracklatch/core/abbreviated_name.h"
 #include "tamaracklatch/transport/wire.h"
 
 namespace tamaracklatch {
@@ -17,7 +18,7 @@
 constexpr std::size_t kCodeBytes = 16;       // of a frame's authentication code
 constexpr std::size_t kProofBytes = 32;      // of a handshake proof
 constexpr std::size_t kHeaderBytes = 1 + 8;  // kind and stamp before the body
-constexpr std::size_t kMaxIdentityText = 128;
+constexpr std::size_t kMaxIdentityText = kMaxAbbreviatedName;
 
 void AppendNumber(std::string* out, std::uint64_t value, std::size_t bytes) {
   for (std::size_t i = bytes; i > 0; --i)
@@ -52,9 +53,9 @@
   writer.Number(kProtocolVersion);
   writer.Number(static_cast<std::uint64_t>(side));
   writer.Text({reinterpret_cast<const char*>(nonce.data()), nonce.size()});
-  writer.Text(self.name);
-  writer.Text(self.vm);
-  writer.Text(self.zone);
+  writer.Text(AbbreviateName(self.name));
+  writer.Text(AbbreviateName(self.vm));
+  writer.Text(AbbreviateName(self.zone));
   writer.Number(static_cast<std::uint64_t>(self.role));
   writer.Write(self.started);
   return std::string(writer.bytes());
--- a/tests/steering/service_identity_test.cc
+++ b/tests/steering/service_identity_test.cc
@@ -3,10 +3,13 @@
 #include <fmt/format.h>
 
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "steering/segments.h"
+#include "steering/target_directory.h"
 #include "support/property.h"
+#include "tamaracklatch/core/abbreviated_name.h"
 #include "tamaracklatch/core/hash.h"
 #include "tamaracklatch/steering/segment_owner.h"
 #include "tamaracklatch/steering/segment_router.h"
@@ -121,6 +124,74 @@
   }
 }
 
+// Names of `size` bytes that differ in the last letter alone, of one byte and
+// of two.
+std::vector<std::pair<std::string, std::string>> LongPairs(std::size_t size) {
+  return {{std::string(size - 1, 's') + "a", std::string(size - 1, 's') + "b"},
+          {std::string(size - 2, 's') + "\u00fc",
+           std::string(size - 2, 's') + "\u00f6"}};
+}
+
+constexpr std::size_t kLongSizes[] = {128, 129, 256, 400};
+
+roster_entry LongTargetAt(std::uint32_t number, const std::string& service,
+                          const zone_name& zone) {
+  roster_entry entry = TargetAt(number, AbbreviateName(service));
+  entry.record.zone = AbbreviateName(zone);
+  return entry;
+}
+
+// Guards against services with long names that are never served, and against
+// two that count as one.
+Test(service_identity, openings_are_placed_by_names_of_any_length) {
+  for (const std::size_t size : kLongSizes) {
+    for (const auto& [first, second] : LongPairs(size)) {
+      segment_router_settings settings;
+      settings.self = BalancerAt(1);
+      settings.zone = first;
+      segment_router router(settings);
+      router.SetRoutes(SetOfTwo({first.c_str(), second.c_str()}), {}, kStart);
+      router.UpdateTarget(LongTargetAt(1, first, first), kStart);
+      router.UpdateTarget(LongTargetAt(2, second, first), kStart);
+      router.SetViewConfirmed(true, time_point::max());
+      const time_point now = kStart + seconds(60);
+      for (std::uint16_t port = 1; port <= 64; ++port) {
+        const auto route = static_cast<std::uint16_t>(port % 2);
+        const auto decision = router.Route(
+            plain_codec::Make(OpeningOf(FlowOf(port, route)), false), now);
+        const auto* sent = std::get_if<forward_segment>(&decision);
+        cr_assert(sent != nullptr && sent->to == DaemonAt(route + 1U),
+                  "%zu bytes", size);
+      }
+    }
+  }
+}
+
+// Guards against long names that no rule, zone or limit applies to.
+Test(service_identity, rules_apply_to_names_of_any_length) {
+  for (const std::size_t size : kLongSizes) {
+    for (const auto& [first, second] : LongPairs(size)) {
+      target_directory directory(first, seconds(60));
+      directory.Update(LongTargetAt(1, first, first), kStart);
+      directory.Update(LongTargetAt(2, second, second), kStart);
+      const directory_target& own = directory.At(directory.Find(DaemonAt(1)));
+      const directory_target& other = directory.At(directory.Find(DaemonAt(2)));
+      cr_expect(own.service == DigestService(first));
+      cr_expect(other.service == DigestService(second));
+      cr_expect(own.own_zone && !other.own_zone);
+      placement_rules rules;
+      rules.revision = 1;
+      rules.evacuated_zones = {AbbreviateName(first)};
+      rules.cold_limits = {{second, 2.0}};
+      directory.SetRules(rules);
+      cr_expect(own.evacuated && !other.evacuated, "%zu bytes", size);
+      cr_expect(directory.IsOwnZoneEvacuated());
+      cr_expect_eq(own.cold_limit, 0U);
+      cr_expect_eq(other.cold_limit, 2U, "%zu bytes", size);
+    }
+  }
+}
+
 // The digest is part of the wire format: a value that differs between versions
 // or kinds of machine would split an installation.
 Test(service_identity, digests_are_fixed) {
--- a/tests/transport/link_codec_test.cc
+++ b/tests/transport/link_codec_test.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "support/property.h"
+#include "tamaracklatch/core/abbreviated_name.h"
 
 namespace tamaracklatch {
 namespace {
@@ -76,6 +77,29 @@
   }
 }
 
+// Guards against control VMs without a leader where a VM or zone has a long
+// name: the peer refused the hello, or the process aborted before it sent it.
+Test(link_codec, names_of_any_length_are_exchanged) {
+  for (const std::size_t size : {128U, 129U, 256U, 400U, 4000U}) {
+    const std::string name(size, 'n');
+    const auto side = [&](link_side which, std::uint8_t nonce_byte) {
+      link_nonce nonce{};
+      nonce.fill(nonce_byte);
+      return link_codec(which, link_key{},
+                        {name, name, name, process_role::kControl, {7}}, nonce);
+    };
+    link_codec left = side(link_side::kConnecting, 1);
+    link_codec right = side(link_side::kAccepting, 2);
+    const exchange seen = Handshake(&left, &right, 4096);
+    cr_assert(left.established() && right.established(), "%zu bytes", size);
+    const link_identity& peer =
+        std::get<link_established>(seen.accepting.at(0)).peer;
+    cr_expect(peer.name == AbbreviateName(name));
+    cr_expect(peer.vm == AbbreviateName(name));
+    cr_expect(peer.zone == AbbreviateName(name));
+  }
+}
+
 Test(link_codec, another_key_is_refused) {
   link_codec left = Side(link_side::kConnecting, 1, 1);
   link_codec right = Side(link_side::kAccepting, 2, 2);
