Name a target's start in owner hints only after a report that follows the claim

Callers saw: a target crashes and is back; flows that open before its first report are reset by the system with a later request, though the target holds them and has been undisturbed for seconds.

Cause: an owner hint names the start of the target that holds the flow, and a balancer resets the flow once a later start is known. The daemon took the last reported start for the holder's if "the last report" came a second or more after the flow's first segment. That time was set by each call of SetTargetStatus, which also comes with each change of the load, when reports stop, at an end and when a stop begins; and a target may accept a later copy more than a second after the first segment. So the hint named the start that had ended.

What is evidence: the target that held the flow when it was claimed is the one that sends a report after that, or an earlier one. A report alone shows that; its time is now kept with the status, set by accepted reports alone, and compared with the time of the claim. A report that was sent before the claim and read after it does not count: it has to come a second after the claim, as no target waits longer for an answer, and not from a pause of the daemon.

Who may reset: the daemon that ran beside the target knows more than any hint. The balancer resets by a hint only where that daemon is silent, gone or has started again.

Ruled out: that the balancer's rule alone would do (its schedules break where the daemon starts again too).

Looked at besides: last_start and previous_start of the directory come from records, whose start is of a report; a target that ends twice has three starts, each later; one that is away long has no open flows when it returns; one that reports late has flows without a start, which are passed on; registrations and searches carry no start; a returned segment is the target's own word.

The check of repeats_the_owner_hint_for_other_balancers_and_after_a_search sets the time of the report, as the daemon does.

--- a/include/tamaracklatch/membership/target_reports.h
+++ b/include/tamaracklatch/membership/target_reports.h
@@ -29,6 +29,9 @@
   bool draining = false;
   std::uint32_t slots = 1;     // requests at a time
   duration cold_remaining{0};  // until it runs at full speed
+  // The daemon did not run for a while before it read the report, which may
+  // have waited that long.
+  bool has_waited = false;
 };
 
 struct target_reports_settings {
--- a/include/tamaracklatch/steering/segment_owner.h
+++ b/include/tamaracklatch/steering/segment_owner.h
@@ -7,7 +7,7 @@
 //   segment_owner owner(settings, &codec, now);
 //   owner.OnSteered(header, segment, now, &actions);  // from another node
 //   owner.OnTargetSegment(segment, now, &actions);    // from the target
-//   owner.SetTargetStatus(status, now);               // each report
+//   owner.SetTargetStatus(status, now);               // each change
 //   owner.UpdateTarget(entry, now);                   // each roster change
 //   owner.Tick(now, &actions);                        // several times a second
 #pragma once
@@ -50,8 +50,8 @@
   duration max_flow_age = std::chrono::seconds(60);
 };
 
-// The last reported status of the target. Set by the daemon with each report
-// and when reports stop.
+// The last reported status of the target. Set by the daemon with each report,
+// when reports stop, and with each change of the load.
 struct target_status {
   target_condition condition = target_condition::kUnreported;
   std::uint32_t slots = 1;            // requests that it runs at a time
@@ -61,6 +61,9 @@
   // This daemon was running when the target started, so the flow table has all
   // flows of the target.
   bool saw_target_start = false;
+  // When the target last reported; only a report of the target changes it. A
+  // report that may have waited to be read does not count.
+  time_point reported_at;
 };
 
 // Deliver the bytes to the target.
@@ -121,7 +124,7 @@
 
   // The generation of this daemon's record, which the roster may raise.
   void SetGeneration(std::uint64_t generation);
-  // The target's status, with each report. A new `target_start` marks the flows
+  // The target's status, with each change. A new `target_start` marks the flows
   // of the earlier start as suspect.
   void SetTargetStatus(const target_status& status, time_point now);
   // Nothing listened at the target's address after this daemon had begun to
@@ -192,6 +195,8 @@
                owned_flow* flow, time_point now, actions* out);
   void Pass(std::uint32_t target, const steering_header& header,
             const segment& received, actions* out);
+  // Whether the flow's target is the one that reported last or an earlier one.
+  bool HasReportedSince(const owned_flow& flow) const;
   void SendOwnerHint(const steering_header& header, owned_flow* flow,
                      actions* out);
   void SendNotOwnerHint(steering_kind kind, const steering_header& header,
@@ -215,7 +220,6 @@
   std::uint64_t node_;      // NodeTag of this daemon's current generation
   target_status status_;
   std::uint64_t target_start_ = 0;  // the last reported start, or 0
-  time_point last_target_report_;   // time of the last SetTargetStatus
   time_point started_;
   // Until then other nodes may still have the earlier report that this daemon
   // has no target.
--- a/src/daemon/steering_target.cc
+++ b/src/daemon/steering_target.cc
@@ -91,8 +91,10 @@
 }
 
 result_code steering_target::OnReport(const target_report& report) {
+  target_report received = report;
+  received.has_waited = frame_.HasJustPaused();
   const result_code code =
-      reports_.OnReport(report, frame_.Now(), frame_.WallNow());
+      reports_.OnReport(received, frame_.Now(), frame_.WallNow());
   if (code != result_code::kOk) {
     Refuse(code,
            fmt::format("{} of {} at {}, start {}, sequence {}", report.id,
--- a/src/membership/target_reports.cc
+++ b/src/membership/target_reports.cc
@@ -46,6 +46,7 @@
   id_ = report.id;
   sequence_ = report.sequence;
   last_report_at_ = now;
+  if (!report.has_waited) status_.reported_at = now;
   status_.target_start = report.start;
   status_.slots = report.slots;
   status_.cold_until = now + report.cold_remaining;
--- a/src/steering/owned_flows.cc
+++ b/src/steering/owned_flows.cc
@@ -127,6 +127,11 @@
   if (done || tcp.rst) SetPhase(flow, flow_phase::kEnded);
 }
 
+void owned_flows::Claim(owned_flow* flow, time_point now) {
+  flow->claimed = now;
+  SetPhase(flow, flow_phase::kClaimed);
+}
+
 void owned_flows::SetPhase(owned_flow* flow, flow_phase phase) {
   const bool was_open = flow->IsOpen();
   flow->phase = phase;
--- a/src/steering/owned_flows.h
+++ b/src/steering/owned_flows.h
@@ -41,6 +41,9 @@
   std::uint32_t caller_end = 0;
   std::uint64_t hinted_balancer = 0;  // hash of the last one sent an owner hint
   time_point opened;
+  // When the target was first known to hold the flow, by the caller's
+  // acknowledgment or a later segment of the target; set unless pending.
+  time_point claimed;
   time_point last_segment;  // of either end
   // When the request that awaits an answer was delivered, if the target runs it
   // at once; else time_point().
@@ -86,6 +89,8 @@
   // Records a segment sent by the target.
   void OnSent(owned_flow* flow, const tcp_segment& tcp, time_point now);
   void SetPhase(owned_flow* flow, flow_phase phase);
+  // Sets a pending flow to claimed.
+  void Claim(owned_flow* flow, time_point now);
 
   // Copies of the flows whose timeout has passed.
   std::vector<owned_flow> ListExpired(const flow_limits& limits,
--- a/src/steering/segment_owner.cc
+++ b/src/steering/segment_owner.cc
@@ -32,9 +32,9 @@
 constexpr std::size_t kMaxOpeningVisits = 6;
 constexpr std::size_t kMaxRefusalVisits = 16;
 
-// If the target reports its start this long after an opening, the reported
-// target is the one that accepted the opening.
-constexpr std::chrono::seconds kStartReportDelay{1};
+// A report that is read this long after a flow was claimed was sent after that:
+// a target waits no longer for the answer to a report.
+constexpr std::chrono::seconds kMaxReportDelay{1};
 
 // A claimed flow is kept this much longer than the idle timeout.
 constexpr std::chrono::seconds kIdleMargin{2};
@@ -98,7 +98,6 @@
   status_ = status;
   flows_->SetCapacity(std::max<std::uint32_t>(status.slots, 1),
                       status.cold_until);
-  last_target_report_ = now;
   if (status.target_start == 0 || status.target_start == target_start_) return;
   if (was_absent) absence_known_until_ = now + kAbsenceRevocationTime;
   target_start_ = status.target_start;
@@ -178,7 +177,7 @@
                                   const segment& received, owned_flow* flow,
                                   time_point now) {
   if (flow->Acknowledges(received.tcp.acknowledged)) {
-    flows_->SetPhase(flow, flow_phase::kClaimed);
+    flows_->Claim(flow, now);
     ++counters_.claimed;
     ReportEvent(
         event_id::kFlowClaimed, flow->hash, received.key, result_code::kOk,
@@ -327,7 +326,7 @@
   // it, so the caller accepted its answer.
   if (flow != nullptr && flow->phase == flow_phase::kPending &&
       !received.tcp.syn && !received.tcp.rst) {
-    flows_->SetPhase(flow, flow_phase::kClaimed);
+    flows_->Claim(flow, now);
   }
   if (flow != nullptr) flows_->OnSent(flow, received.tcp, now);
   ++counters_.answered;
@@ -620,6 +619,14 @@
   actions->push_back(std::move(passed));
 }
 
+// The target held the flow when it was claimed, and a target that sends a
+// report after that is the same one or a later one. Without such a report, a
+// target that has not reported yet may have accepted the flow, also a flow
+// whose opening came in the time of the target that reported last.
+bool segment_owner::HasReportedSince(const owned_flow& flow) const {
+  return status_.reported_at - flow.claimed >= kMaxReportDelay;
+}
+
 // Informs the balancer that its flow is owned here: once per balancer, and
 // again for each segment that reached this daemon through others.
 void segment_owner::SendOwnerHint(const steering_header& header,
@@ -634,8 +641,7 @@
   hint.kind = steering_kind::kOwner;
   hint.flow = header.flow;
   hint.balancer = header.balancer;
-  if (last_target_report_ - flow->opened >= kStartReportDelay)
-    hint.target_start = target_start_;
+  if (HasReportedSince(*flow)) hint.target_start = target_start_;
   actions->push_back(send_notice{header.balancer, hint});
 }
 
--- a/src/steering/segment_router.cc
+++ b/src/steering/segment_router.cc
@@ -454,12 +454,18 @@
   steering_header header = MakeHeader(matched, ChooseShare(matched, flow), flow,
                                       settings_.max_flow_age, now);
   if (const hint_cache::entry* owner = owners_->Find(flow, now)) {
-    const directory_target& target = targets_->At(owner->target);
-    if (target.HasEnded(owner->target_start))
-      return Refuse(received, flow, result_code::kFlowLost, now);
+    const target_index index = owner->target;
+    const directory_target& target = targets_->At(index);
+    if (target.HasEnded(owner->target_start)) {
+      if (!target.KnowsFlowsOf(owner->target_start))
+        return Refuse(received, flow, result_code::kFlowLost, now);
+      // The daemon finds out whether a later target holds the flow after all,
+      // as a daemon of an earlier release may have sent a wrong start.
+      owners_->Put(flow, index, 0, now);
+    }
     ++counters_.cached;
     header.confirmed = false;
-    return Forward(owner->target, header);
+    return Forward(index, header);
   }
   opening_cache::entry* opening = openings_->Get(flow, now);
   if (opening->searched != time_point() &&
--- a/src/steering/target_directory.cc
+++ b/src/steering/target_directory.cc
@@ -34,6 +34,11 @@
          condition == target_condition::kAbsent && last_start == start;
 }
 
+bool directory_target::KnowsFlowsOf(std::uint64_t start) const {
+  return liveness == node_liveness::kAlive && first_start != 0 &&
+         first_start <= start;
+}
+
 bool target_directory::Update(const roster_entry& entry, time_point now) {
   const node_record& record = entry.record;
   if (record.role != node_role::kTarget) return false;
@@ -60,6 +65,7 @@
     if (target.last_start != 0)
       target.previous_start =
           target.HasEnded(target.last_start) ? 0 : target.last_start;
+    target.first_start = 0;
     target.last_start = 0;
     target.node = NodeTag(record.where, record.generation);
     target.known_since = now;
@@ -78,6 +84,7 @@
   target.target_start = record.target_start;
   target.may_have_target = record.may_have_target;
   if (record.target_start != 0) {
+    if (target.first_start == 0) target.first_start = record.target_start;
     target.last_start = record.target_start;
     target.previous_start = 0;
   }
--- a/src/steering/target_directory.h
+++ b/src/steering/target_directory.h
@@ -52,7 +52,9 @@
   double relative_service_time = 1.0;
   std::uint64_t target_start = 0;  // as in node_record; 0 while absent
   bool may_have_target = true;     // as in node_record
-  // The last target_start that this start of the daemon reported; 0: none yet.
+  // The first and the last target_start that this start of the daemon reported;
+  // 0: none yet.
+  std::uint64_t first_start = 0;
   std::uint64_t last_start = 0;
   // The last target_start that an earlier start of the daemon reported, if that
   // target may still run and this start of the daemon has reported none; else
@@ -68,6 +70,9 @@
   }
   // Whether the target that started at `start` is known to have ended.
   bool HasEnded(std::uint64_t start) const;
+  // Whether the daemon runs and already ran beside the target that started at
+  // `start`, so that it can tell whether that target's flows are lost.
+  bool KnowsFlowsOf(std::uint64_t start) const;
 };
 
 // The possible owners of a flow. Daemons that are silent or gone are visited
--- a/tests/membership/target_reports_test.cc
+++ b/tests/membership/target_reports_test.cc
@@ -64,6 +64,36 @@
   }
 }
 
+// Guards against a time of the last report that something else than a report of
+// the running target sets.
+Test(target_reports, only_a_report_sets_the_time_of_the_last) {
+  target_reports reports(kSettings, time_point());
+  const auto at = [](int count) { return time_point(milliseconds(count)); };
+  const auto reported_at = [&] { return reports.status().reported_at; };
+  cr_expect(reported_at() == time_point());
+  reports.OnReport(Foreign(Report(5, 1)), at(100), kWall);
+  cr_expect(reported_at() == time_point());
+  reports.OnReport(Report(5, 1), at(200), kWall);
+  cr_expect(reported_at() == at(200));
+  reports.OnReport(Report(5, 1), at(300), kWall);  // stale
+  reports.OnReport(Report(4, 9), at(300), kWall);  // of an earlier start
+  cr_expect(reported_at() == at(200));
+  target_report waiting = Report(5, 2);
+  waiting.has_waited = true;
+  cr_expect(reports.OnReport(waiting, at(400), kWall) == result_code::kOk);
+  cr_expect(reported_at() == at(200));
+  reports.OnReport(Report(5, 3, true), at(500), kWall);
+  cr_expect(reported_at() == at(500));
+  reports.OnNoListener(kWall);
+  cr_expect(reports.Tick(at(9000)));
+  reports.OnEnd("i-5");
+  cr_expect(reported_at() == at(500));
+  reports.OnReport(Report(5, 4), at(9100), kWall);  // after its end
+  cr_expect(reported_at() == at(500));
+  reports.OnReport(Report(6, 1), at(9200), kWall);
+  cr_expect(reported_at() == at(9200));
+}
+
 Test(target_reports, an_end_is_final_for_its_start) {
   target_reports reports(kSettings, time_point());
   reports.OnReport(Report(5, 1), time_point(), kWall);
--- a/tests/steering/schedule_test.cc
+++ b/tests/steering/schedule_test.cc
@@ -42,6 +42,26 @@
   });
 }
 
+// Guards against resets of open flows that a target accepted between its
+// restart and its first report: neither an owner hint nor a search may take
+// them for flows of the start before.
+Test(schedule, holds_its_invariants_where_restarted_targets_report_late) {
+  test::CheckProperty("random schedules of late reports after starts", [] {
+    simulation_settings settings;
+    settings.seed = *rc::gen::arbitrary<std::uint64_t>();
+    settings.balancers = *rc::gen::inRange<std::size_t>(1, 5);
+    settings.target_vms = *rc::gen::inRange<std::size_t>(1, 6);
+    settings.fault_rate = static_cast<double>(*rc::gen::inRange(1, 12));
+    settings.max_start_report = std::chrono::seconds(4);
+    settings.max_answer_delay = std::chrono::milliseconds(1100);
+    settings.rotation_interval = std::chrono::milliseconds(700);
+    steering_simulation simulation(settings);
+    const std::string failed = simulation.Run();
+    RC_LOG() << "seed " << settings.seed << ": " << failed;
+    RC_ASSERT(failed.empty());
+  });
+}
+
 // Guards against resets of flows that were opened under a document set that a
 // balancer never applied: a route goes to another service and back.
 Test(schedule, holds_its_invariants_where_sets_are_missed) {
--- a/tests/steering/segment_owner_test.cc
+++ b/tests/steering/segment_owner_test.cc
@@ -160,14 +160,62 @@
   fixture.Steer(header, SegmentOf(FlowOf(1), kAnswerSequence + 1, "data"));
   cr_assert(fixture.FindAction<send_notice>() != nullptr);
   // The hint names the start of the target only after a report well after the
-  // opening.
+  // flow was claimed.
   cr_assert(fixture.FindAction<send_notice>()->header.target_start == 0);
   fixture.now += seconds(2);
+  fixture.status.reported_at = fixture.now;
   fixture.owner->SetTargetStatus(fixture.status, fixture.now);
   fixture.Steer(header, SegmentOf(FlowOf(1), kAnswerSequence + 1, "data"));
   cr_assert(fixture.FindAction<send_notice>()->header.target_start == 100);
 }
 
+// Guards against a flow that is reset while its target holds it: it opened
+// between a restart of the target and the first report, and the hint named the
+// start that had ended.
+Test(owner, names_a_start_only_after_a_report_that_follows_the_claim) {
+  struct row {
+    const char* name;
+    bool reports;        // a report of the target, or another change
+    milliseconds after;  // the claim
+    target_condition condition;
+    bool named;
+  };
+  constexpr auto kReady = target_condition::kReady;
+  constexpr row kRows[] = {
+      {"the load has changed", false, milliseconds(3000), kReady, false},
+      {"a stop has begun", false, milliseconds(3000),
+       target_condition::kDraining, false},
+      {"reports stopped, or the end", false, milliseconds(3000),
+       target_condition::kAbsent, false},
+      {"a report between opening and claim", true, milliseconds(-50), kReady,
+       false},
+      {"a report that may be older", true, milliseconds(999), kReady, false},
+      {"a later report", true, milliseconds(1000), kReady, true},
+      {"a later report of a leaving target", true, milliseconds(1000),
+       target_condition::kDraining, true}};
+  for (const row& each : kRows) {
+    owner_fixture fixture;
+    fixture.status.reported_at = fixture.now - milliseconds(400);
+    fixture.owner->SetTargetStatus(fixture.status, fixture.now);
+    // The target answers a later copy, 1.1 s after the first one.
+    fixture.Steer(OpeningOf(FlowOf(1)));
+    fixture.now += milliseconds(1100);
+    fixture.FromTarget(test::AnswerOf(FlowOf(1), kAnswerSequence));
+    fixture.Steer(SegmentOf(FlowOf(1), kAnswerSequence + 1));
+    fixture.status.condition = each.condition;
+    if (each.reports) fixture.status.reported_at = fixture.now + each.after;
+    fixture.now += std::max(each.after, milliseconds(0));
+    fixture.owner->SetTargetStatus(fixture.status, fixture.now);
+    steering_header header = owner_fixture::Header(FlowOf(1));
+    header.balancer = BalancerAt(2);
+    fixture.Steer(header, SegmentOf(FlowOf(1), kAnswerSequence + 1, "data"));
+    const auto* notified = fixture.FindAction<send_notice>();
+    cr_assert(notified != nullptr, "%s", each.name);
+    cr_assert(notified->header.target_start == (each.named ? 100U : 0U), "%s",
+              each.name);
+  }
+}
+
 Test(owner, drops_its_claim_when_another_answer_was_taken) {
   for (const bool answered : {true, false}) {
     owner_fixture fixture;
--- a/tests/steering/steering_simulation.h
+++ b/tests/steering/steering_simulation.h
@@ -39,6 +39,11 @@
   // The first report of a target that runs when its daemon starts comes within
   // this time.
   duration max_first_report = std::chrono::milliseconds(300);
+  // The first report of a target that starts beside its daemon comes within
+  // this time of its start. Until that start is kSlowStart ago, it takes up to
+  // `max_answer_delay` to answer an opening.
+  duration max_start_report = std::chrono::milliseconds(300);
+  duration max_answer_delay{0};
   // All targets and target daemons end and start again at this time after the
   // start; 0: never.
   duration power_loss_at{0};
@@ -133,6 +138,7 @@
   void ProbeTarget(target_vm* where);
   void AwaitFirstReport(target_vm* where);
   void ReportTarget(target_vm* where);
+  void FollowLoad(target_vm* where);
   void RouteHeldSegments(std::size_t number);
   void PublishRecord(target_vm* where, node_liveness liveness);
   void ScheduleConfirmation(target_vm* where);
@@ -158,6 +164,7 @@
 
   // ---- targets ----
   void OnServerReceives(target_vm* at, const std::string& bytes);
+  void AnswerOpening(target_vm* at, const flow_key& key);
   void Answer(target_vm* at, const std::string& bytes, duration delay);
 
   wall_time WallNow() const { return wall_time(now_.time_since_epoch()); }
