--- a/src/steering/segment_owner.cc
+++ b/src/steering/segment_owner.cc
@@ -33,7 +33,7 @@
 constexpr std::size_t kMaxRefusalVisits = 16;
 
 // A report that is read this long after a flow was claimed was sent after that:
-// a target waits no longer for the answer to a report.
+// a target waits at most this long for the answer to a report.
 constexpr std::chrono::seconds kMaxReportDelay{1};
 
 // A claimed flow is kept this much longer than the idle timeout.
--- a/src/steering/segment_router.cc
+++ b/src/steering/segment_router.cc
@@ -459,8 +459,8 @@
     if (target.HasEnded(owner->target_start)) {
       if (!target.KnowsFlowsOf(owner->target_start))
         return Refuse(received, flow, result_code::kFlowLost, now);
-      // The daemon finds out whether a later target holds the flow after all,
-      // as a daemon of an earlier release may have sent a wrong start.
+      // The daemon finds out whether its target holds the flow: a daemon of
+      // another release may have sent a wrong start.
       owners_->Put(flow, index, 0, now);
     }
     ++counters_.cached;
--- a/src/steering/target_directory.h
+++ b/src/steering/target_directory.h
@@ -71,7 +71,7 @@
   // Whether the target that started at `start` is known to have ended.
   bool HasEnded(std::uint64_t start) const;
   // Whether the daemon runs and already ran beside the target that started at
-  // `start`, so that it can tell whether that target's flows are lost.
+  // `start`, so that its flow table has the flows of that target.
   bool KnowsFlowsOf(std::uint64_t start) const;
 };
 
