Search a replaced service while a target reports flows by an earlier set

Callers saw: a balancer is cut off from the control VMs while a route goes to another service, and opens flows by the set that it has. When these flows come to another balancer a minute later, they are reset while their targets hold them.

Cause: a service that left a route was searched for the longest age of a flow and max_set_delay after the set. That is how long balancers in touch take to apply a set; one that is out of touch goes on with its set for as long as it is. Flows that it opened later than max_set_delay outlive the search, and "all possible owners were asked" left their service out.

Who knows: the opening's header says by which set it was placed and whether the balancer's view was confirmed, and the target daemon that accepts it holds the flow. Members hear of the newest accepted set from each hub, also those that fetch none. So the daemon reports in its record the lowest version of a replaced set by which flows were opened that may still be open, at once and for as long; it also does while it hears no confirmation itself. A balancer no longer forgets which services a route had: one that was replaced is searched again while a target reports a version below the set that replaced it. Versions from before the balancer's first set count for all routes, as does what exceeds the memory of 8,192 replaced services. When a daemon starts again, the others keep what its earlier start reported for the age of a flow.

In time: the record is announced before the opening is delivered, and a search can only end in a reset once the view was confirmed as of a time after the flow's first segment; the update that confirms it brings the records of that time too.

Ruled out: longer retention for all (any bound is too short for a cut, and searches more after each change); all services while some node is silent (some always is, at scale); each balancer's set in its record (as many changes as balancers with every set).

Messages: a record has one more trailing element where it is not 0. Earlier releases skip it, and hubs of one leave it out; with target daemons or hubs of an earlier release all is as before.

--- a/include/tamaracklatch/roster/node_record.h
+++ b/include/tamaracklatch/roster/node_record.h
@@ -75,6 +75,9 @@
   // Estimated time that the target takes for a request, in units of
   // kServiceTimeUnit, at most kMaxServiceTime; 0: unknown.
   std::uint32_t service_time = 0;
+  // The lowest version of a replaced document set by which balancers opened
+  // flows that may be open at this target; 0: none.
+  std::uint64_t outdated_set = 0;
 
   // Whether both records are from the same start of the same node.
   bool IsSameStart(const node_record& other) const {
--- a/include/tamaracklatch/roster/roster_member.h
+++ b/include/tamaracklatch/roster/roster_member.h
@@ -79,6 +79,13 @@
   set_succession succession;  // from the set received before
 };
 
+// The highest version of an accepted document set of which a node heard; as
+// confirmed by the control quorum, none above it had been accepted at `as_of`.
+struct newest_set {
+  std::uint64_t version = 0;  // 0: none
+  time_point as_of;
+};
+
 // Record the event.
 struct roster_report {
   event reported;
@@ -123,8 +130,8 @@
 
   // Replaces the local record; the member maintains sequence and generation,
   // and `leaving` stays set once it was. A change of condition, service,
-  // leaving or target_start is announced at once, others with the next
-  // announcement.
+  // leaving, target_start, may_have_target or outdated_set is announced at
+  // once, others with the next announcement.
   actions SetLocalRecord(const node_record& record, time_point now);
   const node_record& local_record() const { return local_record_; }
 
@@ -145,6 +152,9 @@
   // accepted; empty before the first confirmation.
   std::optional<time_point> confirmed() const { return confirmed_; }
 
+  // Of all hubs, also where `wants_set` is false.
+  const newest_set& newest_accepted_set() const { return newest_set_; }
+
   // Whether some hub responds and has sent its whole roster, and a settled one
   // did so within the retention time.
   bool IsSynchronized(time_point now) const;
@@ -290,6 +300,7 @@
   std::optional<document_set> withheld_set_;
   set_succession succession_;  // from set_ to withheld_set_
   std::optional<time_point> confirmed_;
+  newest_set newest_set_;
   std::unique_ptr<set_fetcher> fetcher_;
   // When the local record changed in a way that no hub has acknowledged yet;
   // empty if all changes are acknowledged.
--- a/include/tamaracklatch/steering/segment_owner.h
+++ b/include/tamaracklatch/steering/segment_owner.h
@@ -30,6 +30,7 @@
 
 class cold_admission;
 class delivery_cache;
+class outdated_openings;
 class owned_flows;
 class owner_registry;
 class recent_flows;
@@ -143,6 +144,10 @@
   // target must be known to all nodes. Without it no search ends with a reset.
   void SetRosterConfirmed(bool confirmed) { roster_confirmed_ = confirmed; }
 
+  // A document set of that version had been accepted, and none above it at
+  // `as_of`.
+  void SetAcceptedSet(std::uint64_t version, time_point as_of);
+
   // Updates the load, removes expired flows and appends the registrations that
   // are due. Call several times a second.
   void Tick(time_point now, std::vector<segment_action>* actions);
@@ -152,6 +157,9 @@
   // Estimated service time of the target, for its node record; changes by less
   // than an eighth are left out.
   std::uint32_t service_time() const;
+  // For its node record, as node_record::outdated_set. To be announced at once,
+  // so that it reaches the balancers before a search for such a flow can end.
+  std::uint64_t OutdatedSet(time_point now);
   // Flows that are pending or claimed.
   std::size_t flow_count() const;
   const segment_owner_counters& counters() const { return counters_; }
@@ -233,6 +241,7 @@
   std::unique_ptr<owned_flows> flows_;
   std::unique_ptr<cold_admission> cold_admission_;
   std::unique_ptr<delivery_cache> deliveries_;
+  std::unique_ptr<outdated_openings> outdated_openings_;
   std::unique_ptr<owner_registry> registry_;
   std::unique_ptr<search_collector> collector_;
   std::unique_ptr<recent_flows> reported_searches_;  // kSearchStarted
--- a/include/tamaracklatch/steering/segment_router.h
+++ b/include/tamaracklatch/steering/segment_router.h
@@ -42,10 +42,11 @@
   std::size_t max_cached_flows = 65536;
   // The age after which target daemons may remove a flow. The targets of each
   // service that a route had within this time and max_set_delay are searched
-  // for owners.
+  // for owners; those of an earlier one while a target reports flows of it that
+  // a balancer opened by a replaced set.
   duration max_flow_age = std::chrono::seconds(60);
   // The time in which all balancers whose view is confirmed apply an accepted
-  // document set.
+  // document set. Others go on with the set that they have.
   duration max_set_delay = std::chrono::seconds(3);
 };
 
@@ -138,7 +139,10 @@
   // A service that an earlier set assigned to the address.
   struct past_service {
     service_digest digest;
-    time_point searched_until;  // then all its flows for the address are over
+    // Then all its flows for the address are over that balancers with a
+    // confirmed view opened.
+    time_point searched_until;
+    std::uint64_t replaced_by = 0;  // version of the set that removed it
   };
   struct route {
     std::string name;
@@ -160,9 +164,11 @@
                               const service_digest& service,
                               time_point now) const;
   using route_table = std::unordered_map<endpoint, route, address_hash>;
-  void RemoveExpiredPastServices(time_point now);
+  void LimitPastServices(time_point now);
   void RetainService(const endpoint& where, const service_digest& service,
                      const route_table& after, time_point now);
+  bool MayHaveHad(const route& matched, const service_digest& service,
+                  std::uint64_t version) const;
   std::size_t ChooseShare(const route& matched, std::uint64_t flow) const;
   steering_header MakeHeader(const route& matched, std::size_t share,
                              std::uint64_t flow, duration flow_age,
@@ -200,7 +206,8 @@
   std::unique_ptr<recent_flows> reported_resets_;
   std::unique_ptr<segment_hold> hold_;
   route_table routes_;  // by address
-  // By address; the service removed last is first.
+  // By address; the service removed last is first. All that sets from
+  // known_since_version_ on removed.
   std::unordered_map<endpoint, std::vector<past_service>, address_hash>
       past_services_;
   std::vector<recent_openings> recent_openings_;  // by target_index
@@ -209,6 +216,9 @@
   // When the last set was applied before which sets may have been in use that
   // this balancer does not know.
   time_point sets_known_since_;
+  // The version of that set, or of a later one: the routes of all sets from it
+  // on are known.
+  std::uint64_t known_since_version_ = 0;
   bool view_confirmed_ = false;
   time_point view_confirmed_as_of_;
   segment_router_counters counters_;
--- a/src/daemon/steering_target.cc
+++ b/src/daemon/steering_target.cc
@@ -145,6 +145,7 @@
   own.cold_remaining = std::max(status.cold_until - now, duration::zero());
   own.load = owner_.load();
   own.service_time = owner_.service_time();
+  own.outdated_set = owner_.OutdatedSet(now);
   roster_.SetOwn(own);
   if (status.condition == told_) return;
   told_ = status.condition;
@@ -184,6 +185,8 @@
   const time_point now = frame_.Now();
   stop_.OnArrival(now);
   owner_.OnSteered(*header, *what, now, &actions_);
+  if (owner_.OutdatedSet(now) != roster_.member().local_record().outdated_set)
+    FollowTarget();
   Perform();
 }
 
@@ -303,6 +306,8 @@
   const time_point now = frame_.Now();
   owner_.SetGeneration(roster_.member().local_record().generation);
   owner_.SetRosterConfirmed(roster_.member().IsSynchronized(now));
+  const newest_set& accepted = roster_.member().newest_accepted_set();
+  owner_.SetAcceptedSet(accepted.version, accepted.as_of);
   owner_.Tick(now, &actions_);
   Perform();
   if (reports_.status().condition == target_condition::kUnreported &&
@@ -311,7 +316,8 @@
   const bool has_changed = reports_.Tick(now);
   const node_record& own = roster_.member().local_record();
   if (has_changed || owner_.load() != own.load ||
-      owner_.service_time() != own.service_time)
+      owner_.service_time() != own.service_time ||
+      owner_.OutdatedSet(now) != own.outdated_set)
     FollowTarget();
   if (stop_.HasBegun()) ContinueStop();
 }
--- a/src/roster/roster_hub.cc
+++ b/src/roster/roster_hub.cc
@@ -44,7 +44,8 @@
          left.leaving == right.leaving && left.operators == right.operators &&
          left.service == right.service && left.condition == right.condition &&
          left.slots == right.slots && left.target_start == right.target_start &&
-         left.may_have_target == right.may_have_target;
+         left.may_have_target == right.may_have_target &&
+         left.outdated_set == right.outdated_set;
 }
 
 bool IsSmallLoadChange(const node_record& record, std::uint32_t published) {
--- a/src/roster/roster_member.cc
+++ b/src/roster/roster_member.cc
@@ -44,7 +44,8 @@
 bool IsUrgent(const node_record& from, const node_record& to) {
   return from.condition != to.condition || from.service != to.service ||
          from.leaving != to.leaving || from.target_start != to.target_start ||
-         from.may_have_target != to.may_have_target;
+         from.may_have_target != to.may_have_target ||
+         from.outdated_set != to.outdated_set;
 }
 
 }  // namespace
@@ -440,8 +441,13 @@
   link->rules_revision = std::max(link->rules_revision, update.rules_revision);
   if (update.unverified || is_behind) AnnounceSoon(link, now, out);
 
+  newest_set_.version = std::max(newest_set_.version, update.documents.version);
   if (update.confirmed) {
     const time_point queried_at = sent - update.confirmed->age;
+    if (update.confirmed->version >= newest_set_.version) {
+      newest_set_.version = update.confirmed->version;
+      newest_set_.as_of = std::max(newest_set_.as_of, queried_at);
+    }
     if (!link->confirmed || link->confirmed->queried_at < queried_at)
       link->confirmed = {update.confirmed->version,
                          update.confirmed->rules_revision, queried_at};
--- a/src/roster/roster_messages.cc
+++ b/src/roster/roster_messages.cc
@@ -92,8 +92,9 @@
 
 // node_record::may_have_target follows the other elements of the arrays that
 // hold a record, and is absent in those of versions that don't know it.
-// node_record::service_time follows it and is absent if unknown, so that an
-// array without it is the same as that of such a version.
+// node_record::service_time and node_record::outdated_set follow it. They are
+// absent where they and all that follow are 0, so that an array without them is
+// the same as that of such a version.
 constexpr std::size_t kAnnouncedElements = kRecordElements + 1;
 constexpr std::size_t kEntryElements = kRecordElements + 2;
 
@@ -121,16 +122,25 @@
   writer->Number(record.target_start);
 }
 
-std::size_t ServiceTimeElements(const node_record& record) {
+std::size_t TrailingElements(const node_record& record) {
+  if (record.outdated_set != 0) return 2;
   return record.service_time == 0 ? 0 : 1;
 }
 
-void WriteServiceTime(wire_writer* writer, const node_record& record) {
-  if (record.service_time != 0) writer->Number(record.service_time);
+void WriteTrailing(wire_writer* writer, const node_record& record) {
+  const std::size_t elements = TrailingElements(record);
+  if (elements > 0) writer->Number(record.service_time);
+  if (elements > 1) writer->Number(record.outdated_set);
 }
 
-std::uint32_t ReadServiceTime(wire_reader* reader) {
-  return static_cast<std::uint32_t>(reader->NumberUpTo(kMaxServiceTime));
+// `elements`: the trailing ones of the array.
+void ReadTrailing(wire_reader* reader, std::size_t elements,
+                  node_record* record) {
+  if (elements > 0) {
+    record->service_time =
+        static_cast<std::uint32_t>(reader->NumberUpTo(kMaxServiceTime));
+  }
+  if (elements > 1) record->outdated_set = reader->Number();
 }
 
 std::string ReadName(wire_reader* reader, bool* is_valid) {
@@ -194,10 +204,10 @@
   writer.Number(message.stamp);
   WriteDuration(&writer, message.stamp_age);
   writer.Number(message.position);
-  writer.Array(kAnnouncedElements + ServiceTimeElements(message.record));
+  writer.Array(kAnnouncedElements + TrailingElements(message.record));
   WriteRecord(&writer, message.record, message.record.cold_remaining);
   writer.Flag(message.record.may_have_target);
-  WriteServiceTime(&writer, message.record);
+  WriteTrailing(&writer, message.record);
   writer.Array(message.conflicts.size());
   for (const generation_conflict& conflict : message.conflicts) {
     writer.Array(3);
@@ -225,7 +235,7 @@
   if (elements >= kAnnouncedElements)
     message.record.may_have_target = reader.Flag();
   if (elements > kAnnouncedElements)
-    message.record.service_time = ReadServiceTime(&reader);
+    ReadTrailing(&reader, elements - kAnnouncedElements, &message.record);
   reader.Leave();
   const std::size_t conflicts = reader.Array();
   is_valid = is_valid && conflicts <= kMaxConflicts;
@@ -404,7 +414,7 @@
     if (elements >= kEntryElements)
       entry.record.may_have_target = reader.Flag();
     if (elements > kEntryElements)
-      entry.record.service_time = ReadServiceTime(&reader);
+      ReadTrailing(&reader, elements - kEntryElements, &entry.record);
     reader.Leave();
     if ((entry.liveness == node_liveness::kGone) != entry.record.leaving)
       return Malformed("entry", last_failure);
@@ -418,11 +428,11 @@
 bool entry_writer::Add(const node_record& record, node_liveness liveness,
                        duration cold) {
   wire_writer writer;
-  writer.Array(kEntryElements + ServiceTimeElements(record));
+  writer.Array(kEntryElements + TrailingElements(record));
   WriteRecord(&writer, record, cold);
   writer.Number(static_cast<std::uint64_t>(liveness));
   writer.Flag(record.may_have_target);
-  WriteServiceTime(&writer, record);
+  WriteTrailing(&writer, record);
   const std::string_view bytes = writer.bytes();
   // The header of the array takes up to five bytes.
   if (body_.size() + bytes.size() + 5 > kMaxEntryBytes) return false;
--- a/src/steering/segment_owner.cc
+++ b/src/steering/segment_owner.cc
@@ -11,6 +11,7 @@
 #include "steering/cold_admission.h"
 #include "steering/delivery_cache.h"
 #include "steering/expected_load.h"
+#include "steering/outdated_openings.h"
 #include "steering/owned_flows.h"
 #include "steering/owner_registry.h"
 #include "steering/recent_flows.h"
@@ -76,6 +77,8 @@
       flows_(std::make_unique<owned_flows>(settings.max_flows, now)),
       cold_admission_(std::make_unique<cold_admission>()),
       deliveries_(std::make_unique<delivery_cache>()),
+      outdated_openings_(std::make_unique<outdated_openings>(
+          settings.max_flow_age + kMaxHandshakeTime)),
       registry_(std::make_unique<owner_registry>(settings.max_flows)),
       collector_(std::make_unique<search_collector>(kCollectedSearches)),
       reported_searches_(std::make_unique<recent_flows>(kReportedFlows)),
@@ -123,6 +126,14 @@
   targets_->Update(entry, now);
 }
 
+void segment_owner::SetAcceptedSet(std::uint64_t version, time_point as_of) {
+  outdated_openings_->SetAccepted(version, as_of);
+}
+
+std::uint64_t segment_owner::OutdatedSet(time_point now) {
+  return outdated_openings_->LowestVersion(now);
+}
+
 // ---- segments from balancers and other target daemons ----
 
 void segment_owner::OnSteered(const steering_header& header,
@@ -602,6 +613,8 @@
     if (received.opens() && flow->delivered_openings < UINT8_MAX)
       ++flow->delivered_openings;
   }
+  if (received.opens() && !header.confirmed)
+    outdated_openings_->Add(header.set_version, now);
   deliver_segment delivered{std::string(received.bytes)};
   codec_->MarkDelivery(&delivered.bytes, deliveries_->Add(header));
   actions->push_back(std::move(delivered));
--- a/src/steering/segment_router.cc
+++ b/src/steering/segment_router.cc
@@ -43,6 +43,9 @@
 // Capacity of the set of flows whose reset was reported.
 constexpr std::size_t kReportedFlows = 256;
 
+// The most past services of all addresses, unless more are still searched.
+constexpr std::size_t kMaxPastServices = 8192;
+
 // The most segments held while the view is incomplete.
 constexpr std::size_t kMaxHeldSegments = 1024;
 
@@ -76,7 +79,10 @@
                                const set_succession& succession,
                                time_point now) {
   if (set_version_ != 0 && set.version <= set_version_) return;
-  if (set_version_ == 0 || succession.may_skip_sets) sets_known_since_ = now;
+  if (set_version_ == 0 || succession.may_skip_sets) {
+    sets_known_since_ = now;
+    known_since_version_ = set.version;
+  }
   route_table after;
   for (const set_route& each : set.routes) {
     route& added = after[each.where];
@@ -89,7 +95,7 @@
     }
   }
   set_version_ = set.version;
-  RemoveExpiredPastServices(now);
+  LimitPastServices(now);
   for (const set_route& each : succession.intermediate_routes) {
     for (const service_share& share : each.shares)
       RetainService(each.where, DigestService(share.service), after, now);
@@ -123,12 +129,22 @@
   }
   const auto past = past_services_.find(where);
   if (past != past_services_.end() &&
-      std::any_of(past->second.begin(), past->second.end(), is_same))
+      std::any_of(past->second.begin(), past->second.end(),
+                  [&](const past_service& each) {
+                    return is_same(each) && each.searched_until > now;
+                  }))
     return {};
   return now + settings_.max_set_delay + kMaxOpeningAge;
 }
 
-void segment_router::RemoveExpiredPastServices(time_point now) {
+// Drops the past services whose flows are over, unless they are few. Those that
+// balancers out of touch may still use are then as unknown as if they had been
+// of a set before the first.
+void segment_router::LimitPastServices(time_point now) {
+  std::size_t count = 0;
+  for (const auto& [where, list] : past_services_) count += list.size();
+  if (count <= kMaxPastServices) return;
+  known_since_version_ = set_version_;
   for (auto each = past_services_.begin(); each != past_services_.end();) {
     std::vector<past_service>& list = each->second;
     list.erase(std::remove_if(list.begin(), list.end(),
@@ -155,8 +171,22 @@
     return;
   std::vector<past_service>& list = past_services_[where];
   list.erase(std::remove_if(list.begin(), list.end(), is_same), list.end());
-  list.insert(list.begin(), {service, now + settings_.max_flow_age +
-                                          settings_.max_set_delay});
+  list.insert(list.begin(),
+              {service, now + settings_.max_flow_age + settings_.max_set_delay,
+               set_version_});
+}
+
+// Whether a set from `version` on may have given the route the service, other
+// than the shares that it has.
+bool segment_router::MayHaveHad(const route& matched,
+                                const service_digest& service,
+                                std::uint64_t version) const {
+  if (version < known_since_version_) return true;
+  return std::any_of(matched.past_services.begin(), matched.past_services.end(),
+                     [&](const past_service& each) {
+                       return each.digest == service &&
+                              version < each.replaced_by;
+                     });
 }
 
 void segment_router::SetPlacementRules(const placement_rules& rules) {
@@ -249,8 +279,10 @@
 
 // The header of a segment of the flow. It lists the service of the share, the
 // route's other services and its past ones; also those of all known targets if
-// a flow of `flow_age` may have opened under a set that is not known. Confirmed
-// if the view is confirmed and the services fit into the header.
+// a flow of `flow_age` may have opened under a set that is not known, and those
+// of targets with flows that a balancer out of touch may have opened for the
+// route. Confirmed if the view is confirmed and the services fit into the
+// header.
 steering_header segment_router::MakeHeader(const route& matched,
                                            std::size_t share,
                                            std::uint64_t flow,
@@ -279,6 +311,10 @@
   if (now - sets_known_since_ < flow_age + settings_.max_set_delay) {
     for (const service_digest& each : targets_->Services()) add(each);
   }
+  targets_->VisitOutdated(
+      now, [&](const service_digest& service, std::uint64_t version) {
+        if (MayHaveHad(matched, service, version)) add(service);
+      });
   header.confirmed = view_confirmed_ && complete;
   return header;
 }
--- a/src/steering/target_directory.cc
+++ b/src/steering/target_directory.cc
@@ -20,6 +20,12 @@
 
 constexpr std::size_t kAll = std::numeric_limits<std::size_t>::max();
 
+// The lower version; 0 stands for none.
+std::uint64_t LowestSet(std::uint64_t left, std::uint64_t right) {
+  return left == 0 || right == 0 ? std::max(left, right)
+                                 : std::min(left, right);
+}
+
 // What the target contributes to the median of its service; 0: nothing.
 std::uint32_t CountedServiceTime(const directory_target& target) {
   return target.liveness == node_liveness::kGone ? 0 : target.service_time;
@@ -27,6 +33,11 @@
 
 }  // namespace
 
+std::uint64_t directory_target::OutdatedSetAt(time_point now) const {
+  return LowestSet(outdated_set,
+                   now < previous_outdated_until ? previous_outdated_set : 0);
+}
+
 bool directory_target::HasEnded(std::uint64_t start) const {
   if (start == 0) return false;
   if (target_start != 0) return target_start > start;
@@ -65,6 +76,11 @@
     if (target.last_start != 0)
       target.previous_start =
           target.HasEnded(target.last_start) ? 0 : target.last_start;
+    // A daemon that starts again does not know by which sets the flows of its
+    // target were opened.
+    target.previous_outdated_set =
+        changes_service ? 0 : target.OutdatedSetAt(now);
+    target.previous_outdated_until = now + max_flow_age_ + kMaxHandshakeTime;
     target.first_start = 0;
     target.last_start = 0;
     target.node = NodeTag(record.where, record.generation);
@@ -81,6 +97,8 @@
   target.load = record.load;
   target.cold_until = entry.changed_at + record.cold_remaining;
   target.service_time = record.service_time;
+  target.outdated_set = record.outdated_set;
+  UpdateOutdated(target, place->second);
   target.target_start = record.target_start;
   target.may_have_target = record.may_have_target;
   if (record.target_start != 0) {
@@ -99,6 +117,18 @@
   return true;
 }
 
+void target_directory::UpdateOutdated(const directory_target& target,
+                                      target_index index) {
+  const auto listed = std::find(outdated_.begin(), outdated_.end(), index);
+  const bool is_outdated =
+      target.outdated_set != 0 || target.previous_outdated_set != 0;
+  if (is_outdated && listed == outdated_.end()) {
+    outdated_.push_back(index);
+  } else if (!is_outdated && listed != outdated_.end()) {
+    outdated_.erase(listed);
+  }
+}
+
 // Computes the median of the service and what depends on it.
 void target_directory::UpdateServiceTimes(const service_digest& service) {
   const auto found = services_.find(service);
--- a/src/steering/target_directory.h
+++ b/src/steering/target_directory.h
@@ -26,6 +26,10 @@
 // visits the head before others.
 inline constexpr std::size_t kSearchHead = 3;
 
+// From the first copy of an opening until the caller has opened the flow or
+// given it up.
+inline constexpr std::chrono::seconds kMaxHandshakeTime{2};
+
 // Index of a target in the directory. The index of an endpoint never changes.
 using target_index = std::uint32_t;
 inline constexpr target_index kNoTargetIndex = ~target_index{0};
@@ -60,6 +64,11 @@
   // target may still run and this start of the daemon has reported none; else
   // 0.
   std::uint64_t previous_start = 0;
+  std::uint64_t outdated_set = 0;  // as in node_record
+  // The lowest of those that earlier starts of the daemon reported, which may
+  // apply to open flows until then.
+  std::uint64_t previous_outdated_set = 0;
+  time_point previous_outdated_until;
   time_point known_since;  // when this start of the daemon became known
   time_point last_update;  // last Update of this target
 
@@ -68,6 +77,9 @@
     return condition == target_condition::kReady &&
            liveness == node_liveness::kAlive && !evacuated;
   }
+  // The lowest version of a replaced document set by which flows that may be
+  // open were opened here; 0: none.
+  std::uint64_t OutdatedSetAt(time_point now) const;
   // Whether the target that started at `start` is known to have ended.
   bool HasEnded(std::uint64_t start) const;
   // Whether the daemon runs and already ran beside the target that started at
@@ -142,6 +154,11 @@
   // The services of all known targets, in ascending order.
   std::vector<service_digest> Services() const;
 
+  // Calls `visit(service, version)` for each possible owner with flows that
+  // were opened by a replaced set; `version` is that of OutdatedSetAt.
+  template <typename Visitor>
+  void VisitOutdated(time_point now, Visitor visit) const;
+
   // The possible owners of the header's flow, among the targets of the header's
   // services. The result is valid until the next call.
   const owner_search& ListOwners(const steering_header& header, time_point now);
@@ -198,6 +215,7 @@
   // Sets what depends on the placement rules.
   void ApplyRules(directory_target* target) const;
   void RemoveFromService(const directory_target& target, target_index index);
+  void UpdateOutdated(const directory_target& target, target_index index);
   void UpdateServiceTimes(const service_digest& service);
   void UpdateMeanLoad(const service_digest& service);
   // Whether the target is listed under the service of that abbreviated name.
@@ -210,6 +228,8 @@
   std::unordered_map<service_digest, double, service_digest_hash> cold_limits_;
   duration max_flow_age_;
   std::vector<directory_target> targets_;
+  // The targets that have or had flows opened by replaced sets.
+  std::vector<target_index> outdated_;
   time_point last_joined_;
   std::unordered_map<endpoint, target_index, endpoint_hash> indices_;
   struct service_targets {
@@ -250,6 +270,15 @@
   for (std::size_t at = 0; at < count; ++at) out->push_back(ranking_[at].index);
 }
 
+template <typename Visitor>
+void target_directory::VisitOutdated(time_point now, Visitor visit) const {
+  for (const target_index index : outdated_) {
+    const directory_target& target = targets_[index];
+    const std::uint64_t version = target.OutdatedSetAt(now);
+    if (version != 0 && MayOwn(target, now)) visit(target.service, version);
+  }
+}
+
 template <typename Predicate>
 void target_directory::RankByZone(std::uint64_t flow,
                                   const service_digest& service,
--- a/tests/steering/schedule_test.cc
+++ b/tests/steering/schedule_test.cc
@@ -82,6 +82,36 @@
   });
 }
 
+// Guards against resets of flows that a balancer which was cut off from the
+// control VMs opened by a replaced set: they are open for longer than balancers
+// in touch search the services of that set.
+Test(schedule, holds_its_invariants_where_balancers_are_cut_off) {
+  std::size_t opened_outdated = 0;
+  test::CheckProperty("random schedules of cuts", [&] {
+    simulation_settings settings;
+    settings.seed = *rc::gen::arbitrary<std::uint64_t>();
+    settings.balancers = *rc::gen::inRange<std::size_t>(2, 5);
+    settings.target_vms = *rc::gen::inRange<std::size_t>(4, 9);
+    settings.flows = 200;
+    settings.max_pause = std::chrono::seconds(4);
+    settings.fault_phase = std::chrono::seconds(30);
+    settings.fault_rate = 0.1 * *rc::gen::inRange(1, 20);
+    settings.set_rate = 0.1 * *rc::gen::inRange(1, 6);
+    settings.unknown_sets = 0.1 * *rc::gen::inRange(0, 6);
+    settings.cut_rate = 0.1 * *rc::gen::inRange(2, 10);
+    settings.max_cut = std::chrono::seconds(*rc::gen::inRange(6, 25));
+    settings.max_flow_age = std::chrono::seconds(7);
+    settings.kept_flow_age = std::chrono::seconds(5);
+    settings.rotation_interval = std::chrono::milliseconds(700);
+    steering_simulation simulation(settings);
+    const std::string failed = simulation.Run();
+    opened_outdated += simulation.counts().opened_outdated;
+    RC_LOG() << "seed " << settings.seed << ": " << failed;
+    RC_ASSERT(failed.empty());
+  });
+  cr_expect(opened_outdated > 0);
+}
+
 // Guards against refusals of a first copy while another copy opens the flow at
 // a target whose restarted daemon is silent and has no report of it yet.
 Test(schedule, asks_silent_daemons_whose_target_may_run) {
--- a/tests/steering/segment_owner_test.cc
+++ b/tests/steering/segment_owner_test.cc
@@ -862,6 +862,36 @@
   cr_assert(fixture.owner->flow_count() == 3);
 }
 
+// Guards against flows at a replaced service that no balancer in touch looks
+// for: the daemon that holds them knows by which set they were opened.
+Test(owner, reports_the_replaced_set_by_which_its_flows_were_opened) {
+  struct row {
+    const char* name;
+    bool confirmed;              // the view of the balancer
+    result_code reason;          // for which the opening is passed on
+    std::uint64_t outdated_set;  // reported
+  };
+  const std::vector<row> rows = {
+      {"by a balancer out of touch", false, result_code::kOk, 4},
+      {"by a balancer in touch", true, result_code::kOk, 0},
+      {"passed on", false, result_code::kTargetDraining, 0},
+  };
+  for (const row& each : rows) {
+    owner_fixture fixture;
+    if (each.reason != result_code::kOk) {
+      fixture.status.condition = target_condition::kDraining;
+      fixture.owner->SetTargetStatus(fixture.status, fixture.now);
+    }
+    fixture.owner->SetAcceptedSet(6, fixture.now);
+    steering_header header = owner_fixture::Header(FlowOf(1));
+    header.confirmed = each.confirmed;
+    header.set_version = 4;
+    fixture.Steer(header, OpeningOf(FlowOf(1)));
+    cr_expect_eq(fixture.owner->OutdatedSet(fixture.now), each.outdated_set,
+                 "%s", each.name);
+  }
+}
+
 Test(owner, drops_a_header_of_another_flow) {
   owner_fixture fixture;
   fixture.Steer(owner_fixture::Header(FlowOf(2)), OpeningOf(FlowOf(1)));
--- a/tests/steering/segment_router_test.cc
+++ b/tests/steering/segment_router_test.cc
@@ -432,6 +432,85 @@
   }
 }
 
+struct outdated_set_row {
+  const char* name;
+  std::string service;         // of the target with flows
+  std::uint64_t outdated_set;  // that it reports
+  bool skips_sets;             // before set 3
+  std::size_t services;        // listed in the header
+};
+
+// Guards against resets of flows that a balancer which was cut off from the
+// control VMs opened by a replaced set, long after this one had removed the
+// service.
+Test(router, searches_a_replaced_service_while_a_target_reports_flows_by_it) {
+  // The route has "web" in sets 1, 3 and 5, "shop" in sets 2 and 4.
+  const std::vector<outdated_set_row> rows = {
+      {"no flows", "shop", 0, false, 1},
+      {"by a set with the service", "shop", 2, false, 2},
+      {"by a set before", "shop", 1, false, 2},
+      {"by the set that removed it first", "shop", 3, false, 2},
+      {"by the set with the service again", "shop", 4, false, 2},
+      {"by the set that removed it last", "shop", 5, false, 1},
+      {"of a service that the route never had", "idle", 2, false, 1},
+      {"by a set that may be unknown", "idle", 2, true, 2},
+      {"by a known set after unknown ones", "idle", 3, true, 1},
+      {"of the service that the route has", "web", 2, false, 1},
+  };
+  for (const outdated_set_row& row : rows) {
+    router_fixture fixture;
+    roster_entry entry = TargetAt(kTargets + 1, row.service);
+    fixture.Update(entry);
+    for (std::uint64_t version = 2; version <= 5; ++version) {
+      set_succession succession;
+      succession.may_skip_sets = row.skips_sets && version == 3;
+      const std::string service = version % 2 == 0 ? "shop" : "web";
+      fixture.router->SetRoutes(test::SetOf(version, {{service, 1}}),
+                                succession, fixture.now);
+    }
+    fixture.now += seconds(200);
+    entry.record.outdated_set = row.outdated_set;
+    ++entry.record.sequence;
+    fixture.Update(entry);
+    auto sent = std::get<forward_segment>(fixture.SendData(1)).header;
+    cr_expect_eq(sent.service_count, row.services, "%s", row.name);
+    cr_expect(sent.confirmed, "%s", row.name);
+    entry.record.outdated_set = 0;
+    ++entry.record.sequence;
+    fixture.Update(entry);
+    sent = std::get<forward_segment>(fixture.SendData(2)).header;
+    cr_expect_eq(sent.service_count, 1U, "%s, later", row.name);
+  }
+}
+
+// Guards against a reset where the header has no room for a replaced service,
+// and against unbounded memory of such services.
+Test(router, forgets_replaced_services_only_in_favour_of_all) {
+  router_fixture fixture;
+  fixture.now = kStart + seconds(100);
+  constexpr std::uint64_t kSets = 9000;
+  for (std::uint64_t version = 2; version <= kSets; ++version) {
+    fixture.router->SetRoutes(
+        test::SetOf(version, {{"web-" + std::to_string(version), 1}}), {},
+        fixture.now);
+  }
+  const auto services_listed = [&](std::uint64_t outdated_set) {
+    roster_entry entry = TargetAt(kTargets + 1, "web-5");
+    entry.record.outdated_set = outdated_set;
+    entry.record.sequence = outdated_set;
+    fixture.Update(entry);
+    const auto decision = fixture.SendData(1);
+    return std::get<forward_segment>(decision).header.service_count;
+  };
+  fixture.now += seconds(64);
+  cr_expect_eq(services_listed(5), 2);
+  fixture.router->SetRoutes(test::SetOf(kSets + 1, {{"web", 1}}), {},
+                            fixture.now);
+  cr_expect_eq(services_listed(6), 3,
+               "the last one replaced, and the target's");
+  cr_expect_eq(services_listed(kSets + 1), 2);
+}
+
 // Guards against resets of flows that were opened under a set that was accepted
 // since this balancer's view was confirmed, and against silence afterwards.
 Test(router, confirms_a_search_only_of_flows_from_before_its_confirmation) {
--- a/tests/steering/steering_simulation.h
+++ b/tests/steering/steering_simulation.h
@@ -67,6 +67,15 @@
   double lost = 0.05;
   double duplicated = 0.03;
   double delayed = 0.05;
+  // Mean number of cuts per second of the fault phase: a balancer or a target
+  // daemon and the control VMs don't hear each other for up to `max_cut`; all
+  // other messages pass. 0: never.
+  double cut_rate = 0.0;
+  duration max_cut{0};
+  // Of routers and owners.
+  duration max_flow_age = std::chrono::seconds(30);
+  // Flows whose opening is longer ago than this may be reset.
+  duration kept_flow_age = std::chrono::seconds(30);
   // Mean number of faults and changes per second of the fault phase.
   double fault_rate = 6.0;
   duration fault_phase = std::chrono::seconds(8);
@@ -95,6 +104,9 @@
     std::size_t passed_evacuated = 0;
     // Openings delivered while an order that all nodes had was in force.
     std::size_t opened_in_evacuation = 0;
+    // Openings by a set that had been replaced for longer than a set takes to
+    // reach all balancers in touch.
+    std::size_t opened_outdated = 0;
     // Callers that at the end still take a flow for open that no target holds.
     std::size_t stranded = 0;
     std::size_t split = 0;    // searches in parts
@@ -127,7 +139,13 @@
   void ScheduleEvacuation();
   const std::string& FirstServiceOf(std::size_t number) const;
   void ScheduleNextSet();
+  void ScheduleNextCut();
+  void CutOffBalancer(balancer* each, duration length);
+  void CutOffDaemon(target_vm* where, duration length);
   void ConfirmViews();
+  std::uint64_t AcceptedSetAt(time_point when) const;
+  void FollowOutdatedSet(target_vm* where);
+  void Reconnect(target_vm* where);
   void OrderEvacuation(std::vector<zone_name> zones);
   void SendRulesToDaemon(target_vm* to);
   bool AllNodesHaveRules() const;
--- a/tests/steering/target_directory_test.cc
+++ b/tests/steering/target_directory_test.cc
@@ -311,6 +311,48 @@
   cr_assert(!directory.AllAmong({tag}));
 }
 
+// Guards against flows opened by a replaced set that are forgotten where their
+// daemon starts again beside the target, which is the only one that knew.
+Test(directory, keeps_the_replaced_set_of_an_earlier_start_while_flows_last) {
+  struct row {
+    const char* name;
+    std::uint64_t generation;    // of the second record; the first has 1
+    std::string service;         // of the second record
+    std::uint64_t outdated_set;  // of the second record; the first has 5
+    seconds after;               // the second record
+    std::uint64_t expected;
+  };
+  const std::vector<row> rows = {
+      {"the same start", 1, "web", 0, seconds(0), 0},
+      {"a later start", 2, "web", 0, seconds(0), 5},
+      {"while flows last", 2, "web", 0, seconds(61), 5},
+      {"when they are over", 2, "web", 0, seconds(62), 0},
+      {"with flows by a later set", 2, "web", 7, seconds(0), 5},
+      {"with flows by an earlier set", 2, "web", 3, seconds(0), 3},
+      {"of another service", 2, "shop", 0, seconds(0), 0},
+  };
+  for (const row& each : rows) {
+    target_directory directory("a", kMaxFlowAge);
+    roster_entry entry = TargetAt(1, "web");
+    entry.record.generation = 1;
+    entry.record.outdated_set = 5;
+    directory.Update(entry, kStart);
+    entry.record.generation = each.generation;
+    entry.record.service = each.service;
+    entry.record.outdated_set = each.outdated_set;
+    ++entry.record.sequence;
+    directory.Update(entry, kStart);
+    std::uint64_t visited = 0;
+    directory.VisitOutdated(
+        kStart + each.after,
+        [&](const service_digest& service, std::uint64_t version) {
+          cr_expect(service == DigestService(each.service), "%s", each.name);
+          visited = version;
+        });
+    cr_expect_eq(visited, each.expected, "%s", each.name);
+  }
+}
+
 struct twin_row {
   const char* name;
   unsigned shift;  // of the 32 bits in which the tags of two daemons agree
