Forget no passed-on opening while its refusal may be under way

Cause: a daemon that passes on a first copy which may be refused accepts no later copy for 3 s. It kept these flows in a table of 4,096 places, in which a newer flow replaced an older one with the same index. Under load that happens within a fraction of a second.

Change: passed_openings is exact up to 65,536 flows in 3 s, and beyond says that it contains all. recent_flows is left for what is reported in events.

Looked at besides: the balancer's opening_cache also replaces entries, so it may forget that an opening was refused; the promise that counts is that of the daemons. Tables of owners and registrations change only where a search goes.

--- a/include/tamaracklatch/steering/segment_owner.h
+++ b/include/tamaracklatch/steering/segment_owner.h
@@ -33,6 +33,7 @@
 class outdated_openings;
 class owned_flows;
 class owner_registry;
+class passed_openings;
 class recent_flows;
 class search_collector;
 class target_directory;
@@ -249,7 +250,7 @@
   // Flows whose first copy of the opening was passed on and may be refused by
   // another daemon. No later copy is accepted here, since a reset for the first
   // copy could reach the caller of an open flow.
-  std::unique_ptr<recent_flows> passed_openings_;
+  std::unique_ptr<passed_openings> passed_openings_;
   time_point registrations_checked_;  // last RegisterDueFlows
   time_point last_sweep_;
   std::vector<std::uint32_t> ranked_;  // buffer of Rank
--- a/src/steering/recent_flows.h
+++ b/src/steering/recent_flows.h
@@ -1,5 +1,6 @@
-// The set of flows that were inserted within the last seconds. Bounded; a newer
-// flow replaces an older one with the same index.
+// The set of flows that were inserted within the last seconds, for reports at a
+// bounded rate. Bounded; a newer flow replaces an older one with the same
+// index.
 #pragma once
 
 #include <cstddef>
--- a/src/steering/segment_owner.cc
+++ b/src/steering/segment_owner.cc
@@ -14,6 +14,7 @@
 #include "steering/outdated_openings.h"
 #include "steering/owned_flows.h"
 #include "steering/owner_registry.h"
+#include "steering/passed_openings.h"
 #include "steering/recent_flows.h"
 #include "steering/search_collector.h"
 #include "steering/target_directory.h"
@@ -50,9 +51,11 @@
 
 constexpr std::chrono::milliseconds kSweepInterval{500};
 
-// Capacities of recent_flows: flows reported in events, and openings passed on.
+// Capacity of the sets of flows reported in events.
 constexpr std::size_t kReportedFlows = 256;
-constexpr std::size_t kPassedFlows = 4096;
+
+// Openings passed on whose later copies are not accepted.
+constexpr std::size_t kMaxPassedOpenings = 65536;
 
 // Searches in parts whose outcomes are collected at the same time.
 constexpr std::size_t kCollectedSearches = 1024;
@@ -83,7 +86,7 @@
       collector_(std::make_unique<search_collector>(kCollectedSearches)),
       reported_searches_(std::make_unique<recent_flows>(kReportedFlows)),
       reported_endings_(std::make_unique<recent_flows>(kReportedFlows)),
-      passed_openings_(std::make_unique<recent_flows>(kPassedFlows)),
+      passed_openings_(std::make_unique<passed_openings>(kMaxPassedOpenings)),
       last_sweep_(now) {
   assert(codec != nullptr);
 }
--- a/tests/steering/segment_owner_test.cc
+++ b/tests/steering/segment_owner_test.cc
@@ -862,6 +862,28 @@
   cr_assert(fixture.owner->flow_count() == 3);
 }
 
+// Guards against a reset of an open flow: its first copy is refused elsewhere,
+// and a later copy opens it here, since openings passed on after it took its
+// place in a table of fixed size.
+Test(owner, accepts_no_later_copy_however_many_openings_it_passes_on) {
+  owner_fixture fixture;
+  fixture.status.condition = target_condition::kDraining;
+  fixture.owner->SetTargetStatus(fixture.status, fixture.now);
+  constexpr std::uint16_t kFlows = 20000;
+  for (std::uint16_t port = 1; port <= kFlows; ++port)
+    fixture.Steer(OpeningOf(FlowOf(port)));
+  fixture.status.condition = target_condition::kReady;
+  fixture.owner->SetTargetStatus(fixture.status, fixture.now);
+  fixture.now += milliseconds(600);
+  for (std::uint16_t port = 1; port <= kFlows; ++port) {
+    fixture.Steer(OpeningOf(FlowOf(port), 2));
+    cr_assert(fixture.FindAction<deliver_segment>() == nullptr, "port %d",
+              port);
+  }
+  fixture.Steer(OpeningOf(FlowOf(kFlows + 1), 2));
+  cr_expect(fixture.FindAction<deliver_segment>() != nullptr);
+}
+
 // Guards against flows at a replaced service that no balancer in touch looks
 // for: the daemon that holds them knows by which set they were opened.
 Test(owner, reports_the_replaced_set_by_which_its_flows_were_opened) {
