Let a balancer's view count as confirmed by its age at each decision

Found while looking where a delay that holds for machines in touch is taken for one of all: a frozen balancer. The daemon looks at the age of its view every 100 ms and sets a flag. When it wakes, it first routes what waited in its socket, with the flag of before: openings by a set that may have been replaced long since went out as those of a confirmed view. A target daemon may refuse such an opening, though another balancer opened the flow at a service that the set lacks, and does not report flows opened by it; and a route that has come meanwhile was refused as unknown. Searches were not concerned: they need a view confirmed after the flow's first segment.

Not seen with callers; counts_a_view_as_confirmed_no_longer_than_sets_are_awaited shows it and failed before. The router now checks the age at each decision, with half of max_set_delay, as the daemon does.

--- a/include/tamaracklatch/steering/segment_router.h
+++ b/include/tamaracklatch/steering/segment_router.h
@@ -100,6 +100,7 @@
   // `as_of`: the time up to which all accepted sets are applied. A search can
   // only end with a reset if its first segment came before: the flow may have
   // opened under a set that was accepted since.
+  // The view counts as confirmed for half of max_set_delay after that.
   void SetViewConfirmed(bool confirmed, time_point as_of) {
     view_confirmed_ = confirmed;
     view_confirmed_as_of_ = as_of;
@@ -180,6 +181,7 @@
   steering_decision RouteNonOpening(const route& matched,
                                     const segment& received, std::uint64_t flow,
                                     time_point now);
+  bool IsViewConfirmed(time_point now) const;
   bool IsViewSettled(time_point now) const;
   event MakePlacedEvent(const route& matched, std::size_t share,
                         const segment& received, std::uint64_t flow,
--- a/src/steering/segment_router.cc
+++ b/src/steering/segment_router.cc
@@ -233,7 +233,7 @@
   }
   if (found == routes_.end()) {
     opening_cache::entry* opening = openings_->Get(flow, now);
-    if (!view_confirmed_ || (opening->refused && received.opens()))
+    if (!IsViewConfirmed(now) || (opening->refused && received.opens()))
       return Drop(result_code::kRouteUnknown);
     if (!received.opens()) {
       if (opening->first_searched == time_point())
@@ -260,9 +260,17 @@
                         view_confirmed_as_of_, now);
 }
 
+// A process that was suspended may route what arrived meanwhile before it looks
+// at its view again.
+bool segment_router::IsViewConfirmed(time_point now) const {
+  return view_confirmed_ &&
+         now - view_confirmed_as_of_ < settings_.max_set_delay / 2;
+}
+
 // Whether a search that starts now can be confirmed.
 bool segment_router::IsViewSettled(time_point now) const {
-  return view_confirmed_ && now - targets_->last_joined() >= kRosterSettleTime;
+  return IsViewConfirmed(now) &&
+         now - targets_->last_joined() >= kRosterSettleTime;
 }
 
 // Returns the share that the flow's hash selects in proportion to the weights.
@@ -315,7 +323,7 @@
       now, [&](const service_digest& service, std::uint64_t version) {
         if (MayHaveHad(matched, service, version)) add(service);
       });
-  header.confirmed = view_confirmed_ && complete;
+  header.confirmed = IsViewConfirmed(now) && complete;
   return header;
 }
 
--- a/tests/steering/segment_router_test.cc
+++ b/tests/steering/segment_router_test.cc
@@ -432,6 +432,21 @@
   }
 }
 
+// Guards against decisions by a replaced set of a process that was suspended:
+// it routes what waited in its socket before it looks at its view again.
+Test(router, counts_a_view_as_confirmed_no_longer_than_sets_are_awaited) {
+  for (const bool is_late : {false, true}) {
+    router_fixture fixture;
+    fixture.router->SetViewConfirmed(true, fixture.now);
+    fixture.now += milliseconds(is_late ? 1500 : 1499);
+    const auto opening = std::get<forward_segment>(fixture.Open(1)).header;
+    cr_expect_eq(opening.confirmed, !is_late);
+    const auto unknown = fixture.Send(test::OpeningOf(FlowOf(1, 7)));
+    cr_expect_eq(RefusalReason(unknown) == result_code::kRouteUnknown,
+                 !is_late);
+  }
+}
+
 struct outdated_set_row {
   const char* name;
   std::string service;         // of the target with flows
