Place no later copy at a share that others may have ceased to list

Found while looking at past placements, for a route that moves twice: a share that comes back takes later copies at once if its service is still searched for flows of the time before, since a refusal elsewhere then visits it. Other balancers may have removed it up to max_set_delay earlier and apply the new set as much later, so in the last 8 s of the search one of them may refuse a first copy without that visit. Later copies now go there only if all list it until refusals by the set of before are over.

A row of places_only_first_copies_at_a_share_just_added failed before ("may not list it any more"); not seen with callers.

--- a/src/steering/segment_router.cc
+++ b/src/steering/segment_router.cc
@@ -127,14 +127,20 @@
     const auto same = std::find_if(shares.begin(), shares.end(), is_same);
     if (same != shares.end()) return same->first_copies_until;
   }
+  // Another balancer may have removed the service earlier than this one, and
+  // may apply the new set later.
+  const time_point refusals_end =
+      now + settings_.max_set_delay + kMaxOpeningAge;
   const auto past = past_services_.find(where);
   if (past != past_services_.end() &&
       std::any_of(past->second.begin(), past->second.end(),
                   [&](const past_service& each) {
-                    return is_same(each) && each.searched_until > now;
+                    return is_same(each) &&
+                           each.searched_until - settings_.max_set_delay >
+                               refusals_end;
                   }))
     return {};
-  return now + settings_.max_set_delay + kMaxOpeningAge;
+  return refusals_end;
 }
 
 // Drops the past services whose flows are over, unless they are few. Those that
