Report flows of an unconfirmed balancer only where their set may have been replaced

A target daemon that heard no confirmation for 3 s reported them, also while control VMs responded. In an election that lasts, or in an installation whose control VMs send a message each 5 s, all daemons would have changed their records, twice. Now it does at once if no control VM responds, which costs nothing, and after 12 s without a confirmation if one does.

With a metric, tamaracklatch_outdated_set_version.

--- a/src/daemon/steering_target.cc
+++ b/src/daemon/steering_target.cc
@@ -288,6 +288,9 @@
              "Estimated time that the target takes for a request.",
              std::chrono::duration<double>(kServiceTimeUnit).count() *
                  owner_.service_time());
+  counts.Set("tamaracklatch_outdated_set_version",
+             "Lowest replaced set by which flows were opened that may be open.",
+             static_cast<double>(roster_.member().local_record().outdated_set));
   counts.SetHistogram("tamaracklatch_first_answer_seconds",
                       "From an opening to the target's answer.",
                       counted.first_answer);
--- a/src/steering/outdated_openings.cc
+++ b/src/steering/outdated_openings.cc
@@ -7,9 +7,10 @@
 namespace tamaracklatch {
 namespace {
 
-// Without a confirmation for this long, a set may have been accepted of which
-// this node knows nothing. An election takes less.
-constexpr std::chrono::seconds kMaxConfirmationAge{3};
+// Without a confirmation for this long, the control VMs that respond may be cut
+// off from the quorum. An election takes less, and so does the interval of
+// their messages in a large installation.
+constexpr std::chrono::seconds kMaxConfirmationAge{12};
 
 }  // namespace
 
@@ -34,15 +35,16 @@
   }
 }
 
-std::uint64_t outdated_openings::LowestVersion(time_point now) {
+std::uint64_t outdated_openings::LowestVersion(bool is_in_touch,
+                                               time_point now) {
   for (auto each = openings_.begin(); each != openings_.end();) {
     each = now - each->second >= max_flow_age_ ? openings_.erase(each)
                                                : std::next(each);
   }
   if (openings_.empty()) return 0;
   const std::uint64_t lowest = openings_.begin()->first;
-  const bool is_outdated =
-      lowest < accepted_version_ || now - accepted_as_of_ > kMaxConfirmationAge;
+  const bool is_outdated = lowest < accepted_version_ || !is_in_touch ||
+                           now - accepted_as_of_ > kMaxConfirmationAge;
   return is_outdated ? lowest : 0;
 }
 
--- a/src/steering/outdated_openings.h
+++ b/src/steering/outdated_openings.h
@@ -25,8 +25,9 @@
   void SetAccepted(std::uint64_t version, time_point as_of);
 
   // The lowest version by which a flow that may be open was opened although a
-  // higher one had been accepted, or may have been; 0: none.
-  std::uint64_t LowestVersion(time_point now);
+  // higher one had been accepted, or may have been; 0: none. `is_in_touch`: a
+  // control VM responds to this node.
+  std::uint64_t LowestVersion(bool is_in_touch, time_point now);
 
  private:
   static constexpr std::size_t kMaxVersions = 16;
--- a/src/steering/segment_owner.cc
+++ b/src/steering/segment_owner.cc
@@ -134,7 +134,7 @@
 }
 
 std::uint64_t segment_owner::OutdatedSet(time_point now) {
-  return outdated_openings_->LowestVersion(now);
+  return outdated_openings_->LowestVersion(roster_confirmed_, now);
 }
 
 // ---- segments from balancers and other target daemons ----
