Take a replaced set from any hub that reports it

In a roll of the control VMs a hub of an earlier release leaves node_record::outdated_set out of the records that it passes on. A member kept the record of the hub that it heard first, and ignored the same one of a hub that knows the field: flows opened by a replaced set went unsearched. a_replaced_set_counts_whichever_hub_tells_of_it_first failed before.

--- a/src/roster/roster_member.cc
+++ b/src/roster/roster_member.cc
@@ -520,6 +520,11 @@
     entry.changed_at = now;
     if (is_status_change) Report(event_id::kNodeChanged, entry.record, "", out);
     changed = true;
+  } else if (record.sequence == entry.record.sequence &&
+             entry.record.outdated_set == 0 && record.outdated_set != 0) {
+    // A hub of an earlier release leaves it out.
+    entry.record.outdated_set = record.outdated_set;
+    changed = true;
   }
   reports.alive &= ~link->bit;
   reports.silent &= ~link->bit;
--- a/tests/roster/roster_test.cc
+++ b/tests/roster/roster_test.cc
@@ -702,6 +702,21 @@
   cr_expect_eq(test.member.set().version, 0U);
 }
 
+// Guards against flows opened by a replaced set that are forgotten in a roll,
+// since one of the hubs is of a release that doesn't know the field.
+Test(roster_member, a_replaced_set_counts_whichever_hub_tells_of_it_first) {
+  for (const std::size_t first : {std::size_t{0}, std::size_t{1}}) {
+    scripted_member test(2);
+    update_entry known{MakeRecord(5), kAlive};
+    known.record.outdated_set = 7;
+    update_entry left_out{MakeRecord(5), kAlive};
+    test.SendEntries(first, {first == 0 ? known : left_out}, 0);
+    test.SendEntries(1 - first, {first == 0 ? left_out : known}, 0);
+    const roster_entry& entry = test.member.entries().at(EndpointAt(5));
+    cr_expect_eq(entry.record.outdated_set, 7U, "first from hub %zu", first);
+  }
+}
+
 Test(roster_member, a_confirmation_waits_for_its_set) {
   scripted_member test(1, true);
   document_set set;
