--- a/include/tamaracklatch/roster/roster_member.h
+++ b/include/tamaracklatch/roster/roster_member.h
@@ -79,8 +79,8 @@
   set_succession succession;  // from the set received before
 };
 
-// The highest version of an accepted document set of which a node heard; as
-// confirmed by the control quorum, none above it had been accepted at `as_of`.
+// The highest version of an accepted document set that a hub reported. The
+// control quorum confirmed that none above it had been accepted at `as_of`.
 struct newest_set {
   std::uint64_t version = 0;  // 0: none
   time_point as_of;
--- a/include/tamaracklatch/steering/segment_router.h
+++ b/include/tamaracklatch/steering/segment_router.h
@@ -42,8 +42,8 @@
   std::size_t max_cached_flows = 65536;
   // The age after which target daemons may remove a flow. The targets of each
   // service that a route had within this time and max_set_delay are searched
-  // for owners; those of an earlier one while a target reports flows of it that
-  // a balancer opened by a replaced set.
+  // for owners; those of a service removed earlier, while one of its targets
+  // reports flows opened by a replaced set.
   duration max_flow_age = std::chrono::seconds(60);
   // The time in which all balancers whose view is confirmed apply an accepted
   // document set. Others go on with the set that they have.
@@ -208,8 +208,8 @@
   std::unique_ptr<recent_flows> reported_resets_;
   std::unique_ptr<segment_hold> hold_;
   route_table routes_;  // by address
-  // By address; the service removed last is first. All that sets from
-  // known_since_version_ on removed.
+  // By address; the service removed last is first. Has all services that sets
+  // from known_since_version_ on removed.
   std::unordered_map<endpoint, std::vector<past_service>, address_hash>
       past_services_;
   std::vector<recent_openings> recent_openings_;  // by target_index
--- a/src/steering/target_directory.cc
+++ b/src/steering/target_directory.cc
@@ -20,7 +20,7 @@
 
 constexpr std::size_t kAll = std::numeric_limits<std::size_t>::max();
 
-// The lower version; 0 stands for none.
+// The lower version; 0 means none.
 std::uint64_t LowestSet(std::uint64_t left, std::uint64_t right) {
   return left == 0 || right == 0 ? std::max(left, right)
                                  : std::min(left, right);
--- a/tests/roster/roster_messages_test.cc
+++ b/tests/roster/roster_messages_test.cc
@@ -203,7 +203,7 @@
   announce.record.outdated_set = 9;
   const std::string outdated = Encode(announce);
   // Before it, but for the count of elements, all is as without it; the empty
-  // list of conflicts stands last.
+  // list of conflicts is last.
   cr_assert_eq(outdated.size(), timed.size() + 1);
   cr_expect(outdated.substr(timed.size() - 1) == std::string("\x09\x90", 2));
   std::string cut = outdated;
--- a/tests/roster/roster_test.cc
+++ b/tests/roster/roster_test.cc
@@ -672,7 +672,7 @@
 }
 
 // Guards against a target daemon that takes an opening by a replaced set for
-// one by the newest: it fetches no sets, but hears of them.
+// one by the newest: it fetches no sets, but receives their versions.
 Test(roster_member, the_newest_accepted_set_is_known_without_a_fetch) {
   struct row {
     std::uint64_t held;       // by the hub
@@ -704,7 +704,7 @@
 
 // Guards against flows opened by a replaced set that are forgotten in a roll,
 // since one of the hubs is of a release that doesn't know the field.
-Test(roster_member, a_replaced_set_counts_whichever_hub_tells_of_it_first) {
+Test(roster_member, a_replaced_set_counts_whichever_hub_reports_it_first) {
   for (const std::size_t first : {std::size_t{0}, std::size_t{1}}) {
     scripted_member test(2);
     update_entry known{MakeRecord(5), kAlive};
--- a/tests/steering/steering_simulation.cc
+++ b/tests/steering/steering_simulation.cc
@@ -104,7 +104,7 @@
   seen_changes seen;                     // of this start of the daemon
 
   // Whether its announcements reach the control VMs.
-  bool IsHeard() const { return !cut_off && !control_cut_off; }
+  bool ReachesControl() const { return !cut_off && !control_cut_off; }
 };
 
 struct steering_simulation::caller {
@@ -308,7 +308,8 @@
   if (rules_.revision == 0) return;
   ScheduleAfter(RandomDuration(kMaxRosterDelay),
                 [this, to, number = to->daemon_number, rules = rules_] {
-                  if (to->daemon_number != number || !to->IsHeard()) return;
+                  if (to->daemon_number != number || !to->ReachesControl())
+                    return;
                   to->daemon->SetPlacementRules(rules);
                   if (rules.revision > to->rules.revision) to->rules = rules;
                 });
@@ -374,7 +375,7 @@
         break;
       }
       case 6:  // the VM is cut off for a while
-        if (!where->IsHeard()) break;
+        if (!where->ReachesControl()) break;
         where->cut_off = true;
         ++where->connection_changes;
         where->daemon->SetRosterConfirmed(false);
@@ -407,7 +408,7 @@
   });
 }
 
-// A daemon that the control VMs hear again: its record is published, and it
+// A daemon that reaches the control VMs again: its record is published, and it
 // receives what it missed.
 void steering_simulation::Reconnect(target_vm* where) {
   PublishRecord(where, node_liveness::kAlive);
@@ -452,7 +453,7 @@
 }
 
 void steering_simulation::CutOffDaemon(target_vm* where, duration length) {
-  if (where->daemon == nullptr || !where->IsHeard()) return;
+  if (where->daemon == nullptr || !where->ReachesControl()) return;
   where->control_cut_off = true;
   ++where->connection_changes;
   ScheduleAfter(milliseconds(600), [this, where] {
@@ -488,7 +489,7 @@
         each->confirmed_as_of);
   }
   for (const auto& each : target_vms_) {
-    if (each->daemon == nullptr || !each->IsHeard()) continue;
+    if (each->daemon == nullptr || !each->ReachesControl()) continue;
     const time_point queried = now_ - RandomDuration(milliseconds(200));
     each->daemon->SetAcceptedSet(AcceptedSetAt(queried), queried);
   }
@@ -708,9 +709,10 @@
 // ignores a change older than the last one that it applied.
 void steering_simulation::PublishRecord(target_vm* where,
                                         node_liveness liveness) {
-  // What changes while no control VM hears the daemon is published later.
-  if (where->IsHeard()) where->entry.record = where->record;
-  where->entry.liveness = where->IsHeard() ? liveness : node_liveness::kSilent;
+  // What changes while the daemon reaches no control VM is published later.
+  if (where->ReachesControl()) where->entry.record = where->record;
+  where->entry.liveness =
+      where->ReachesControl() ? liveness : node_liveness::kSilent;
   where->published = now_;
   ++where->changes;
   for (const auto& each : balancers_) {
@@ -731,7 +733,7 @@
 void steering_simulation::ScheduleConfirmation(target_vm* where) {
   const std::uint64_t span = ++where->connection_changes;
   ScheduleAfter(seconds(1), [where, span] {
-    if (where->connection_changes == span && where->IsHeard())
+    if (where->connection_changes == span && where->ReachesControl())
       where->daemon->SetRosterConfirmed(true);
   });
 }
@@ -741,7 +743,8 @@
   ScheduleAfter(RandomDuration(kMaxRosterDelay),
                 [this, to, number = to->daemon_number, entry = of.entry,
                  change = of.changes] {
-                  if (to->daemon_number != number || !to->IsHeard()) return;
+                  if (to->daemon_number != number || !to->ReachesControl())
+                    return;
                   if (IsNewer(entry, change, &to->seen))
                     to->daemon->UpdateTarget(entry, now_);
                 });
--- a/tests/steering/steering_simulation.h
+++ b/tests/steering/steering_simulation.h
@@ -67,9 +67,9 @@
   double lost = 0.05;
   double duplicated = 0.03;
   double delayed = 0.05;
-  // Mean number of cuts per second of the fault phase: a balancer or a target
-  // daemon and the control VMs don't hear each other for up to `max_cut`; all
-  // other messages pass. 0: never.
+  // Mean number of cuts per second of the fault phase: messages between a
+  // balancer or a target daemon and the control VMs are lost for up to
+  // `max_cut`; all others arrive. 0: never.
   double cut_rate = 0.0;
   duration max_cut{0};
   // Of routers and owners.
